--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Front door to CMake. `make demo` and `make test` install what they need.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: setup build test demo bench format check-format lint scenarios capacity measure clean
+
+setup:
+	@scripts/setup.sh
+
+build: setup
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	@cd $(BUILD) && ctest --output-on-failure -j 4
+
+demo: build
+	@scripts/demo.sh $(BUILD)
+
+bench: build
+	@scripts/bench.sh $(BUILD)
+
+capacity: build
+	@scripts/capacity.sh $(BUILD)
+
+format:
+	@git ls-files '*.h' '*.cpp' | xargs clang-format -i
+
+check-format: setup
+	@git ls-files '*.h' '*.cpp' | xargs clang-format --dry-run -Werror
+
+lint: build
+	@scripts/lint.sh $(BUILD)
+
+clean:
+	@rm -rf $(BUILD)
--- /dev/null
+++ b/include/toucanridge/toucanridge.h
@@ -0,0 +1,106 @@
+#ifndef TOUCANRIDGE_TOUCANRIDGE_H
+#define TOUCANRIDGE_TOUCANRIDGE_H
+
+/// Public interface of toucanridge: the shapes of a query and of its answer,
+/// and the error codes of the library.
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace toucanridge {
+
+/// Errors of the library, as std::error_code values.
+enum class Errc
+{
+  Ok = 0,
+  BadSettings,     ///< a flag or environment variable is missing or invalid
+  BadRules,        ///< the rules file has at least one fault
+  BadMessage,      ///< a message could not be decoded
+  TooLarge,        ///< a body, frame or count is over its limit
+  Unreachable,     ///< no connection could be made
+  TimedOut,        ///< the deadline passed
+  NotHolder,       ///< the node has no right to send to that server
+  Overloaded,      ///< shed because of load
+  UnknownClass,    ///< no rule names that query class
+  NoSnapshot,      ///< no snapshot rule for that application
+  TicketRequired,  ///< a non-idempotent request came without a ticket
+  TicketDead,      ///< the ticket's issuer restarted; it can never run
+  Quarantined,     ///< the request has crashed backend servers
+  ShuttingDown,    ///< the node is leaving
+  NotReady,        ///< the node has not confirmed its configuration yet
+};
+
+const std::error_category& errorCategory() noexcept;
+std::error_code make_error_code(Errc aCode) noexcept;
+
+/// How a query, or one attempt at a part of it, ended.
+enum class Outcome : std::uint8_t
+{
+  Whole,   ///< every service of the snapshot answered
+  Partial, ///< some services answered; coverage says how many
+  NotRun,  ///< no backend server ran any part of it
+  Unknown, ///< it may have run; the result is not known
+};
+
+/// @returns "whole", "partial", "not-run" or "unknown"
+const char* toString(Outcome aOutcome) noexcept;
+
+/// Services that answered out of those in the snapshot's partition map.
+struct Coverage
+{
+  std::uint32_t answered = 0;
+  std::uint32_t total = 0;
+};
+
+/// A rule that governed an answer.
+struct GoverningRule
+{
+  std::uint32_t line = 0; ///< line in the rules file, 0 for a built-in default
+  std::string text;
+  std::string askedBy;
+};
+
+/// A query as a caller sends it.
+struct QueryRequest
+{
+  std::string queryClass;
+  std::string body;
+  std::string ticket; ///< required for classes that are not idempotent
+  std::chrono::milliseconds deadline{ 0 }; ///< 0: the deadline of the class
+};
+
+/// One service's part of an answer.
+struct AnswerPart
+{
+  std::string service;
+  std::string body;
+};
+
+/// The answer to a query.
+struct QueryAnswer
+{
+  std::string requestId;
+  Outcome outcome = Outcome::NotRun;
+  std::string reason; ///< why it is not whole; empty when it is
+  Coverage coverage;
+  std::uint64_t snapshot = 0;
+  std::uint64_t revision = 0; ///< configuration revision in force
+  std::vector<GoverningRule> rules;
+  std::vector<AnswerPart> parts;
+};
+
+/// @returns the version of the library, "major.minor.patch"
+const char* version() noexcept;
+
+} // namespace toucanridge
+
+namespace std {
+template<>
+struct is_error_code_enum<toucanridge::Errc> : true_type
+{};
+} // namespace std
+
+#endif // TOUCANRIDGE_TOUCANRIDGE_H
--- /dev/null
+++ b/src/clock_p.h
@@ -0,0 +1,54 @@
+#ifndef TOUCANRIDGE_CLOCK_P_H
+#define TOUCANRIDGE_CLOCK_P_H
+
+#include <chrono>
+
+namespace toucanridge {
+
+using Duration = std::chrono::nanoseconds;
+
+/// Tag of the project's monotonic time; see ClockI.
+struct MonotonicTag
+{
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<MonotonicTag, Duration>;
+  static constexpr bool is_steady = true;
+};
+
+using TimePoint = MonotonicTag::time_point;
+
+/// Source of time for every decision object.
+class ClockI
+{
+public:
+  virtual ~ClockI() = default;
+  /// @returns monotonic time that also advances while the machine is suspended
+  virtual TimePoint now() const = 0;
+};
+
+/// The machine's clock (CLOCK_BOOTTIME).
+class SystemClock final : public ClockI
+{
+public:
+  TimePoint now() const override;
+};
+
+/// A clock that tests advance by hand.
+class ManualClock final : public ClockI
+{
+public:
+  TimePoint now() const override { return m_now; }
+  void advance(Duration aBy) { m_now += aBy; }
+
+private:
+  TimePoint m_now{ std::chrono::seconds(1000) };
+};
+
+/// Unix time in milliseconds, for deadlines that leave the system.
+std::chrono::milliseconds unixTime();
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_CLOCK_P_H
--- /dev/null
+++ b/src/log.cpp
@@ -0,0 +1,171 @@
+#include "log_p.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <iomanip>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+namespace toucanridge {
+namespace {
+
+constexpr std::size_t kQueueLines = 65536;
+
+struct Entry
+{
+  LogLevel level;
+  std::string text;
+};
+
+log4cplus::LogLevel
+toLog4cplus(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::Info:
+      return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::Warn:
+      return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::Error:
+      return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+/// A bounded queue before log4cplus. log4cplus' own asynchronous appender
+/// blocks the caller when its queue is full.
+class Writer
+{
+public:
+  Writer(const std::string& aFile, LogLevel aLevel)
+    : m_level(aLevel)
+    , m_logger(log4cplus::Logger::getInstance("toucanridge"))
+  {
+    log4cplus::SharedAppenderPtr appender;
+    if (aFile.empty()) {
+      appender = new log4cplus::ConsoleAppender(true, false);
+    } else {
+      appender = new log4cplus::FileAppender(aFile, std::ios_base::app, true);
+    }
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
+    m_logger.removeAllAppenders();
+    m_logger.addAppender(appender);
+    m_logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
+    m_thread = std::thread([this] { run(); });
+  }
+
+  ~Writer()
+  {
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      m_stopping = true;
+    }
+    m_wake.notify_one();
+    m_thread.join();
+    m_logger.removeAllAppenders();
+  }
+
+  LogLevel level() const { return m_level; }
+
+  bool push(Entry aEntry)
+  {
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      if (m_queue.size() >= kQueueLines) {
+        return false;
+      }
+      m_queue.push_back(std::move(aEntry));
+    }
+    m_wake.notify_one();
+    return true;
+  }
+
+private:
+  void run()
+  {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (true) {
+      m_wake.wait(lock, [this] { return m_stopping || !m_queue.empty(); });
+      if (m_queue.empty()) {
+        return;
+      }
+      std::vector<Entry> batch;
+      batch.swap(m_queue);
+      lock.unlock();
+      for (const Entry& entry : batch) {
+        m_logger.log(toLog4cplus(entry.level), entry.text);
+      }
+      lock.lock();
+    }
+  }
+
+  LogLevel m_level;
+  log4cplus::Logger m_logger;
+  std::mutex m_mutex;
+  std::condition_variable m_wake;
+  std::vector<Entry> m_queue;
+  bool m_stopping = false;
+  std::thread m_thread;
+};
+
+std::unique_ptr<log4cplus::Initializer> gInitializer;
+std::unique_ptr<Writer> gWriter;
+std::atomic<std::uint64_t> gDropped{ 0 };
+
+} // namespace
+
+LogLine&
+LogLine::addText(const char* aKey, const std::string& aValue)
+{
+  m_out << ' ' << aKey << '=' << std::quoted(aValue);
+  return *this;
+}
+
+void
+logInit(const std::string& aFile, LogLevel aLevel)
+{
+  gInitializer = std::make_unique<log4cplus::Initializer>();
+  gWriter = std::make_unique<Writer>(aFile, aLevel);
+}
+
+void
+logShutdown()
+{
+  gWriter.reset();
+  gInitializer.reset();
+}
+
+bool
+logEnabled(LogLevel aLevel)
+{
+  return gWriter && aLevel >= gWriter->level();
+}
+
+void
+logWrite(LogLevel aLevel, const LogLine& aLine)
+{
+  if (!logEnabled(aLevel)) {
+    return;
+  }
+  if (!gWriter->push({ aLevel, aLine.str() })) {
+    ++gDropped;
+  }
+}
+
+std::uint64_t
+logDropped()
+{
+  return gDropped;
+}
+
+} // namespace toucanridge
