--- a/include/toucanridge/toucanridge.h
+++ b/include/toucanridge/toucanridge.h
@@ -16,25 +16,27 @@
 enum class Errc
 {
   Ok = 0,
-  BadSettings,     ///< a flag or environment variable is missing or invalid
-  BadRules,        ///< the rules file has at least one fault
-  BadMessage,      ///< a message could not be decoded
-  TooLarge,        ///< a body, frame or count is over its limit
-  Unreachable,     ///< no connection could be made
-  TimedOut,        ///< the deadline passed
-  NotHolder,       ///< the node has no right to send to that server
-  Overloaded,      ///< shed because of load
-  UnknownClass,    ///< no rule names that query class
-  NoSnapshot,      ///< no snapshot rule for that application
-  TicketRequired,  ///< a non-idempotent request came without a ticket
-  TicketDead,      ///< the ticket's issuer restarted; it can never run
-  Quarantined,     ///< the request has crashed backend servers
-  ShuttingDown,    ///< the node is leaving
-  NotReady,        ///< the node has not confirmed its configuration yet
+  BadSettings,    ///< a flag or environment variable is missing or invalid
+  BadRules,       ///< the rules file has at least one fault
+  BadMessage,     ///< a message could not be decoded
+  TooLarge,       ///< a body, frame or count is over its limit
+  Unreachable,    ///< no connection could be made
+  TimedOut,       ///< the deadline passed
+  NotHolder,      ///< the node has no right to send to that server
+  Overloaded,     ///< shed because of load
+  UnknownClass,   ///< no rule names that query class
+  NoSnapshot,     ///< no snapshot rule for that application
+  TicketRequired, ///< a non-idempotent request came without a ticket
+  TicketDead,     ///< the ticket's issuer restarted; it can never run
+  Quarantined,    ///< the request has crashed backend servers
+  ShuttingDown,   ///< the node is leaving
+  NotReady,       ///< the node has not confirmed its configuration yet
 };
 
-const std::error_category& errorCategory() noexcept;
-std::error_code make_error_code(Errc aCode) noexcept;
+const std::error_category&
+errorCategory() noexcept;
+std::error_code
+make_error_code(Errc aCode) noexcept;
 
 /// How a query, or one attempt at a part of it, ended.
 enum class Outcome : std::uint8_t
@@ -46,7 +48,8 @@
 };
 
 /// @returns "whole", "partial", "not-run" or "unknown"
-const char* toString(Outcome aOutcome) noexcept;
+const char*
+toString(Outcome aOutcome) noexcept;
 
 /// Services that answered out of those in the snapshot's partition map.
 struct Coverage
@@ -93,14 +96,16 @@
 };
 
 /// @returns the version of the library, "major.minor.patch"
-const char* version() noexcept;
+const char*
+version() noexcept;
 
 } // namespace toucanridge
 
 namespace std {
 template<>
 struct is_error_code_enum<toucanridge::Errc> : true_type
-{};
+{
+};
 } // namespace std
 
 #endif // TOUCANRIDGE_TOUCANRIDGE_H
--- a/src/clock_p.h
+++ b/src/clock_p.h
@@ -47,7 +47,8 @@
 };
 
 /// Unix time in milliseconds, for deadlines that leave the system.
-std::chrono::milliseconds unixTime();
+std::chrono::milliseconds
+unixTime();
 
 } // namespace toucanridge
 
--- a/src/log_p.h
+++ b/src/log_p.h
@@ -40,20 +40,25 @@
 /// Starts the log's writer thread.
 /// @param[in] aFile path of the log file; empty for standard error
 /// @param[in] aLevel lines below this level are not written
-void logInit(const std::string& aFile, LogLevel aLevel);
+void
+logInit(const std::string& aFile, LogLevel aLevel);
 
 /// Writes what is queued and ends the writer thread.
-void logShutdown();
+void
+logShutdown();
 
 /// @returns true when lines of that level are written
-bool logEnabled(LogLevel aLevel);
+bool
+logEnabled(LogLevel aLevel);
 
 /// Queues a line; drops and counts it when the queue is full, so that a slow
 /// disk or terminal never delays a query.
-void logWrite(LogLevel aLevel, const LogLine& aLine);
+void
+logWrite(LogLevel aLevel, const LogLine& aLine);
 
 /// @returns lines dropped because the queue was full
-std::uint64_t logDropped();
+std::uint64_t
+logDropped();
 
 } // namespace toucanridge
 
--- /dev/null
+++ b/src/peer_link.cpp
@@ -0,0 +1,188 @@
+#include "peer_link_p.h"
+
+#include "log_p.h"
+
+namespace toucanridge {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
+
+} // namespace
+
+PeerLinks::PeerLinks(asio::io_context& aContext, Hello aSelf)
+  : m_context(aContext)
+  , m_self(std::move(aSelf))
+  , m_acceptor(aContext)
+{
+}
+
+std::error_code
+PeerLinks::init(const std::string& aAddress,
+                std::uint16_t aPort,
+                Handlers aHandlers)
+{
+  m_handlers = std::move(aHandlers);
+  boost::system::error_code error;
+  const tcp::endpoint endpoint(asio::ip::make_address(aAddress, error), aPort);
+  if (!error) {
+    m_acceptor.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    m_acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return { error.value(), std::system_category() };
+  }
+  acceptNext();
+  return {};
+}
+
+void
+PeerLinks::shutdown()
+{
+  std::vector<StreamPtr> streams;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_stopping = true;
+    for (auto& entry : m_links) {
+      streams.push_back(entry.second);
+    }
+    for (auto& entry : m_served) {
+      streams.push_back(entry.second);
+    }
+  }
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+  for (const StreamPtr& stream : streams) {
+    stream->close("shutdown");
+  }
+}
+
+void
+PeerLinks::acceptNext()
+{
+  m_acceptor.async_accept(
+    asio::make_strand(m_context),
+    [this](const boost::system::error_code& error, tcp::socket socket) {
+      if (error == asio::error::operation_aborted) {
+        return;
+      }
+      if (!error) {
+        serve(std::make_shared<FrameStream>(std::move(socket)));
+      }
+      acceptNext();
+    });
+}
+
+void
+PeerLinks::serve(const StreamPtr& aStream)
+{
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_stopping) {
+      return;
+    }
+    m_served[aStream.get()] = aStream;
+  }
+  auto peer = std::make_shared<Hello>();
+  const std::weak_ptr<FrameStream> weak = aStream;
+  FrameStream* const key = aStream.get();
+  const Reply reply = [weak](MessageType type, std::string payload) {
+    if (const StreamPtr stream = weak.lock()) {
+      stream->send(type, std::move(payload));
+    }
+  };
+  aStream->accept(
+    [this, peer, weak, reply](MessageType type, const std::string& payload) {
+      if (type == MessageType::Hello) {
+        if (auto hello = decode<Hello>(payload)) {
+          *peer = std::move(*hello);
+          return;
+        }
+      } else if (!peer->host.empty()) {
+        m_handlers.onRequest(peer->host, type, payload, reply);
+        return;
+      }
+      logWrite(LogLevel::Warn,
+               LogLine("peer-refused")
+                 .add("reason", "no-hello")
+                 .add("type", static_cast<int>(type)));
+      if (const StreamPtr stream = weak.lock()) {
+        stream->close("no-hello");
+      }
+    },
+    [this, key](const char*, const std::vector<std::uint64_t>&) {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      m_served.erase(key);
+    });
+}
+
+PeerLinks::StreamPtr
+PeerLinks::connectTo(const std::string& aHost,
+                     const std::string& aAddress,
+                     std::uint16_t aPort)
+{
+  auto stream = std::make_shared<FrameStream>(m_context);
+  FrameStream* const key = stream.get();
+  boost::system::error_code error;
+  const tcp::endpoint endpoint(asio::ip::make_address(aAddress, error), aPort);
+  stream->connect(
+    endpoint,
+    kConnectTimeout,
+    [this, aHost](MessageType type, const std::string& payload) {
+      m_handlers.onReply(aHost, type, payload);
+    },
+    [this, aHost, key](const char* reason,
+                       const std::vector<std::uint64_t>& unsent) {
+      {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const auto found = m_links.find(aHost);
+        if (found != m_links.end() && found->second.get() == key) {
+          m_links.erase(found);
+        }
+      }
+      logWrite(LogLevel::Info,
+               LogLine("link-lost").add("peer", aHost).add("reason", reason));
+      m_handlers.onLost(aHost, unsent);
+    });
+  stream->send(MessageType::Hello, encode(m_self));
+  return stream;
+}
+
+void
+PeerLinks::send(const std::string& aHost,
+                const std::string& aAddress,
+                std::uint16_t aPort,
+                MessageType aType,
+                std::string aPayload,
+                std::uint64_t aTag)
+{
+  StreamPtr stream;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    StreamPtr& link = m_links[aHost];
+    if (!link) {
+      link = connectTo(aHost, aAddress, aPort);
+    }
+    stream = link;
+  }
+  stream->send(aType, std::move(aPayload), aTag);
+}
+
+std::size_t
+PeerLinks::size() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_links.size();
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/peer_link_p.h
@@ -0,0 +1,153 @@
+#ifndef TOUCANRIDGE_PEER_LINK_P_H
+#define TOUCANRIDGE_PEER_LINK_P_H
+
+/// TCP links between nodes. A node connects to each peer it sends sub-requests
+/// to; replies return on the same connection.
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <boost/asio.hpp>
+
+#include "clock_p.h"
+#include "wire_p.h"
+
+namespace toucanridge {
+
+/// A framed TCP connection: u32 little-endian payload length, u8 type, payload.
+class FrameStream : public std::enable_shared_from_this<FrameStream>
+{
+public:
+  using Socket = boost::asio::ip::tcp::socket;
+  using Endpoint = boost::asio::ip::tcp::endpoint;
+  /// Called on the stream's strand for each frame.
+  using OnFrame = std::function<void(MessageType, std::string)>;
+  /// Called once when the stream ends, with the tags of frames of which no
+  /// byte was handed to the socket.
+  using OnClose =
+    std::function<void(const char* aReason, std::vector<std::uint64_t>)>;
+
+  explicit FrameStream(boost::asio::io_context& aContext);
+  explicit FrameStream(Socket aSocket);
+
+  /// Connects, then reads frames until the stream ends.
+  void connect(const Endpoint& aEndpoint,
+               std::chrono::milliseconds aTimeout,
+               OnFrame aOnFrame,
+               OnClose aOnClose);
+  /// Reads frames of an accepted socket.
+  void accept(OnFrame aOnFrame, OnClose aOnClose);
+
+  /// Queues a frame; any thread.
+  /// @param[in] aTag reported to OnClose if the frame was never written
+  void send(MessageType aType, std::string aPayload, std::uint64_t aTag = 0);
+  void close(const char* aReason);
+
+private:
+  struct Frame
+  {
+    std::array<unsigned char, 5> header;
+    std::string payload;
+    std::uint64_t tag = 0;
+  };
+
+  void open();
+  void readHeader();
+  void readPayload(std::uint32_t aSize, MessageType aType);
+  void onFrame(MessageType aType, std::string aPayload);
+  void write();
+  void watchProgress();
+  void end(const char* aReason);
+
+  Socket m_socket;
+  boost::asio::steady_timer m_timer;
+  OnFrame m_onFrame;
+  OnClose m_onClose;
+  std::array<unsigned char, 5> m_header{};
+  std::string m_payload;
+  std::deque<Frame> m_queue;
+  bool m_open = false;
+  bool m_writing = false;
+  bool m_ended = false;
+  bool m_watching = false;
+  bool m_answered = true; ///< something arrived since the last send
+  std::chrono::steady_clock::time_point m_silentSince;
+};
+
+/// All links of a node.
+class PeerLinks
+{
+public:
+  /// Sends a frame back on the connection that a request came from.
+  using Reply = std::function<void(MessageType, std::string)>;
+  struct Handlers
+  {
+    /// A request from a peer that connected to this node.
+    std::function<void(const std::string& aHost,
+                       MessageType aType,
+                       const std::string& aPayload,
+                       const Reply& aReply)>
+      onRequest;
+    /// A reply on a connection that this node made.
+    std::function<void(const std::string& aHost,
+                       MessageType aType,
+                       const std::string& aPayload)>
+      onReply;
+    /// The connection to a peer ended. Frames with the tags in aUnsent were
+    /// never written; any other frame may have been received.
+    std::function<void(const std::string& aHost,
+                       const std::vector<std::uint64_t>& aUnsent)>
+      onLost;
+  };
+
+  /// @param[in] aSelf sent to peers in Hello
+  PeerLinks(boost::asio::io_context& aContext, Hello aSelf);
+
+  /// Listens on an address.
+  /// @returns an error when the address can't be bound
+  std::error_code init(const std::string& aAddress,
+                       std::uint16_t aPort,
+                       Handlers aHandlers);
+  void shutdown();
+
+  /// Queues a frame to a host, connecting when there is no connection.
+  void send(const std::string& aHost,
+            const std::string& aAddress,
+            std::uint16_t aPort,
+            MessageType aType,
+            std::string aPayload,
+            std::uint64_t aTag);
+
+  /// @returns outgoing connections that exist
+  std::size_t size() const;
+
+private:
+  using StreamPtr = std::shared_ptr<FrameStream>;
+
+  void acceptNext();
+  void serve(const StreamPtr& aStream);
+  StreamPtr connectTo(const std::string& aHost,
+                      const std::string& aAddress,
+                      std::uint16_t aPort);
+
+  boost::asio::io_context& m_context;
+  Hello m_self;
+  Handlers m_handlers;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  mutable std::mutex m_mutex; ///< guards the two containers
+  std::map<std::string, StreamPtr> m_links;
+  std::map<FrameStream*, StreamPtr> m_served;
+  bool m_stopping = false;
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_PEER_LINK_P_H
--- /dev/null
+++ b/src/query_engine.cpp
@@ -0,0 +1,125 @@
+#include "query_engine_p.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include "query_p.h"
+
+namespace toucanridge {
+
+QueryEngine::QueryEngine(boost::asio::io_context& aContext,
+                         const ClockI& aClock,
+                         const ViewHolder& aViews,
+                         SubSenderI& aSender,
+                         SlotChooser& aChooser,
+                         std::string aSelf,
+                         std::uint64_t aIncarnation)
+  : m_context(aContext)
+  , m_clock(aClock)
+  , m_views(aViews)
+  , m_sender(aSender)
+  , m_chooser(aChooser)
+  , m_self(std::move(aSelf))
+  , m_incarnation(aIncarnation)
+{
+}
+
+QueryEngine::~QueryEngine() = default;
+
+void
+QueryEngine::submit(QueryRequest aRequest, Done aDone)
+{
+  ++m_counters.queries;
+  const std::uint64_t id = m_nextId++;
+  std::ostringstream requestId;
+  requestId << m_self << '-' << std::hex << m_incarnation << '-' << std::dec
+            << id;
+  if (m_draining) {
+    QueryAnswer answer;
+    answer.requestId = requestId.str();
+    answer.reason = make_error_code(Errc::ShuttingDown).message();
+    ++m_counters.notRun;
+    aDone(answer);
+    return;
+  }
+  auto query = std::make_shared<Query>(
+    *this, id, requestId.str(), std::move(aRequest), std::move(aDone));
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_queries[id] = query;
+  }
+  query->start();
+}
+
+std::shared_ptr<Query>
+QueryEngine::find(std::uint64_t aId) const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const auto found = m_queries.find(aId);
+  return found == m_queries.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<Query>>
+QueryEngine::all() const
+{
+  std::vector<std::shared_ptr<Query>> list;
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& entry : m_queries) {
+    list.push_back(entry.second);
+  }
+  return list;
+}
+
+void
+QueryEngine::onReply(const std::string& aHost, const SubReply& aReply)
+{
+  if (const auto query = find(aReply.query)) {
+    query->onReply(aHost, aReply);
+  } else {
+    ++m_counters.droppedReplies;
+  }
+}
+
+void
+QueryEngine::onLinkLost(const std::string& aHost,
+                        const std::vector<std::uint64_t>& aUnsent)
+{
+  for (const std::uint64_t id : aUnsent) {
+    if (const auto query = find(id)) {
+      query->onLinkLost(aHost, true);
+    }
+  }
+  for (const auto& query : all()) {
+    query->onLinkLost(aHost, false);
+  }
+}
+
+std::size_t
+QueryEngine::running() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_queries.size();
+}
+
+void
+QueryEngine::ended(std::uint64_t aId, const QueryAnswer& aAnswer)
+{
+  switch (aAnswer.outcome) {
+    case Outcome::Whole:
+      ++m_counters.whole;
+      break;
+    case Outcome::Partial:
+      ++m_counters.partial;
+      break;
+    case Outcome::NotRun:
+      ++m_counters.notRun;
+      break;
+    case Outcome::Unknown:
+      ++m_counters.unknown;
+      break;
+  }
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_queries.erase(aId);
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/query_engine_p.h
@@ -0,0 +1,107 @@
+#ifndef TOUCANRIDGE_QUERY_ENGINE_P_H
+#define TOUCANRIDGE_QUERY_ENGINE_P_H
+
+/// Runs queries on the entry node: plans, fans out, retries, merges.
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <boost/asio.hpp>
+
+#include "clock_p.h"
+#include "slot_chooser_p.h"
+#include "toucanridge/toucanridge.h"
+#include "view_p.h"
+#include "wire_p.h"
+
+namespace toucanridge {
+
+/// Sends batches to holders. Replies come through QueryEngine::onReply.
+class SubSenderI
+{
+public:
+  virtual ~SubSenderI() = default;
+  virtual void send(const Host& aHost, SubBatch aBatch) = 0;
+  virtual void cancel(const Host& aHost, std::uint64_t aQuery) = 0;
+};
+
+/// Counters of the engine since start.
+struct EngineCounters
+{
+  std::atomic<std::uint64_t> queries{ 0 };
+  std::atomic<std::uint64_t> whole{ 0 };
+  std::atomic<std::uint64_t> partial{ 0 };
+  std::atomic<std::uint64_t> notRun{ 0 };
+  std::atomic<std::uint64_t> unknown{ 0 };
+  std::atomic<std::uint64_t> firstAttempts{ 0 };
+  std::atomic<std::uint64_t> retries{ 0 };
+  std::atomic<std::uint64_t> hedges{ 0 };
+  std::atomic<std::uint64_t> droppedReplies{ 0 };
+};
+
+class Query;
+
+class QueryEngine
+{
+public:
+  using Done = std::function<void(QueryAnswer)>;
+
+  QueryEngine(boost::asio::io_context& aContext,
+              const ClockI& aClock,
+              const ViewHolder& aViews,
+              SubSenderI& aSender,
+              SlotChooser& aChooser,
+              std::string aSelf,
+              std::uint64_t aIncarnation);
+  ~QueryEngine();
+
+  /// Runs a query.
+  /// @param[in] aDone called once, at the latest at the query's deadline
+  void submit(QueryRequest aRequest, Done aDone);
+
+  /// Takes a reply of a holder; drops and counts one that matches no attempt.
+  void onReply(const std::string& aHost, const SubReply& aReply);
+
+  /// Ends the attempts at a host whose link is lost.
+  /// @param[in] aUnsent queries whose batches were never written
+  void onLinkLost(const std::string& aHost,
+                  const std::vector<std::uint64_t>& aUnsent);
+
+  /// Refuses new queries from now on.
+  void drain() { m_draining = true; }
+
+  /// @returns queries that run
+  std::size_t running() const;
+
+  const EngineCounters& counters() const { return m_counters; }
+
+private:
+  friend class Query;
+
+  std::shared_ptr<Query> find(std::uint64_t aId) const;
+  std::vector<std::shared_ptr<Query>> all() const;
+  void ended(std::uint64_t aId, const QueryAnswer& aAnswer);
+
+  boost::asio::io_context& m_context;
+  const ClockI& m_clock;
+  const ViewHolder& m_views;
+  SubSenderI& m_sender;
+  SlotChooser& m_chooser;
+  std::string m_self;
+  std::uint64_t m_incarnation;
+  std::atomic<std::uint64_t> m_nextId{ 1 };
+  std::atomic<bool> m_draining{ false };
+  EngineCounters m_counters;
+  mutable std::mutex m_mutex; ///< guards m_queries
+  std::map<std::uint64_t, std::shared_ptr<Query>> m_queries;
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_QUERY_ENGINE_P_H
--- a/src/rules_p.h
+++ b/src/rules_p.h
@@ -84,8 +84,8 @@
   enum class Mode : std::uint8_t
   {
     Off,
-    Fixed,   ///< after `delay`
-    Learnt,  ///< after the learnt `percentile` of the class
+    Fixed,  ///< after `delay`
+    Learnt, ///< after the learnt `percentile` of the class
   };
   Mode mode = Mode::Learnt;
   std::chrono::milliseconds delay{ 0 };
@@ -172,17 +172,19 @@
 /// Parses a rules file.
 /// @param[in] aText whole text, at most kMaxRulesBytes
 /// @returns the rule set, or all faults in the order of their lines
-RulesResult parseRules(std::string_view aText);
+RulesResult
+parseRules(std::string_view aText);
 
 /// Largest rules file; the configuration service holds values up to 1 MB.
 constexpr std::size_t kMaxRulesBytes = 1'000'000;
 
 /// Every rule in force in file order, built-in defaults last.
-std::vector<Provenance> listRules(const RuleSet& aRules);
+std::vector<Provenance>
+listRules(const RuleSet& aRules);
 
 /// Rules that govern a query of a class, in file order.
-std::vector<GoverningRule> governingRules(const RuleSet& aRules,
-                                          const std::string& aClass);
+std::vector<GoverningRule>
+governingRules(const RuleSet& aRules, const std::string& aClass);
 
 } // namespace toucanridge
 
--- a/src/rules_parse.cpp
+++ b/src/rules_parse.cpp
@@ -312,8 +312,7 @@
   if (atEnd()) {
     return true;
   }
-  fault(m_tokens[m_next].column,
-        "unexpected '" + m_tokens[m_next].text + "'");
+  fault(m_tokens[m_next].column, "unexpected '" + m_tokens[m_next].text + "'");
   return false;
 }
 
@@ -389,8 +388,7 @@
                  server.port) &&
       server.port != 0 && isIpv4(server.name.substr(0, colon));
     if (!valid) {
-      fault(column,
-            "server '" + server.name + "' is not an IPv4 address:port");
+      fault(column, "server '" + server.name + "' is not an IPv4 address:port");
       return false;
     }
     server.address = server.name.substr(0, colon);
@@ -422,8 +420,8 @@
     return;
   }
   if (!atEnd() &&
-      !(word("cold-slots") && count("cold-slots", 1, rule.slots,
-                                    rule.coldSlots) && ended())) {
+      !(word("cold-slots") &&
+        count("cold-slots", 1, rule.slots, rule.coldSlots) && ended())) {
     return;
   }
   // A slot needs a connection in use and a spare to replace a silent one.
@@ -491,9 +489,8 @@
             "invalid service name '" + part + "'");
       return false;
     }
-    aNames.push_back(part.find('/') == std::string::npos
-                       ? aApplication + "/" + part
-                       : part);
+    aNames.push_back(
+      part.find('/') == std::string::npos ? aApplication + "/" + part : part);
     pos = comma + 1;
   }
   return true;
@@ -662,8 +659,8 @@
   constexpr std::string_view kPrefix = "asked by ";
   const std::string text = trim(aComment);
   const auto colon = text.find(':');
-  const bool valid = text.compare(0, kPrefix.size(), kPrefix) == 0 &&
-                     colon != std::string::npos;
+  const bool valid =
+    text.compare(0, kPrefix.size(), kPrefix) == 0 && colon != std::string::npos;
   if (valid) {
     m_from.askedBy = trim(
       std::string_view(text).substr(kPrefix.size(), colon - kPrefix.size()));
@@ -795,11 +792,10 @@
     pos = end + 1;
   }
   crossCheck();
-  std::stable_sort(m_faults.begin(),
-                   m_faults.end(),
-                   [](const RuleFault& a, const RuleFault& b) {
-                     return a.line < b.line;
-                   });
+  std::stable_sort(
+    m_faults.begin(),
+    m_faults.end(),
+    [](const RuleFault& a, const RuleFault& b) { return a.line < b.line; });
   if (!m_faults.empty()) {
     return { nullptr, m_faults };
   }
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,275 @@
+#include "settings_p.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstring>
+#include <limits>
+#include <sstream>
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/program_options.hpp>
+
+extern char** environ;
+
+namespace toucanridge {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr const char* kPrefix = "TOUCANRIDGE_";
+constexpr std::uint32_t kMaxThreads = 256;
+
+/// Ends parsing with a message for the user.
+struct BadSetting : std::runtime_error
+{
+  using std::runtime_error::runtime_error;
+};
+
+/// Parses flags, then environment variables for what flags left open.
+po::variables_map
+parse(const po::options_description& aOptions,
+      const std::vector<std::string>& aArguments)
+{
+  po::variables_map values;
+  po::store(po::command_line_parser(aArguments)
+              .options(aOptions)
+              .positional(po::positional_options_description())
+              .run(),
+            values);
+  if (values.count("help") != 0) {
+    return values;
+  }
+  const auto toOption = [&](const std::string& variable) -> std::string {
+    if (variable.compare(0, std::strlen(kPrefix), kPrefix) != 0) {
+      return {};
+    }
+    std::string name = variable.substr(std::strlen(kPrefix));
+    std::transform(name.begin(), name.end(), name.begin(), [](char c) {
+      return c == '_'
+               ? '-'
+               : static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    });
+    if (aOptions.find_nothrow(name, false) == nullptr) {
+      throw BadSetting("unknown environment variable '" + variable + "'");
+    }
+    return name;
+  };
+  po::store(po::parse_environment(aOptions, toOption), values);
+  po::notify(values);
+  return values;
+}
+
+std::string
+checkAddress(const std::string& aText, const char* aOption)
+{
+  boost::system::error_code error;
+  boost::asio::ip::make_address_v4(aText, error);
+  if (error) {
+    throw BadSetting(std::string("--") + aOption + ": '" + aText +
+                     "' is not an IPv4 address");
+  }
+  return aText;
+}
+
+std::uint16_t
+checkPort(std::int64_t aValue, const char* aOption)
+{
+  if (aValue < 1 || aValue > std::numeric_limits<std::uint16_t>::max()) {
+    throw BadSetting(std::string("--") + aOption + ": must be from 1 to 65535");
+  }
+  return static_cast<std::uint16_t>(aValue);
+}
+
+std::uint32_t
+checkThreads(std::int64_t aValue, const char* aOption)
+{
+  if (aValue < 1 || aValue > kMaxThreads) {
+    throw BadSetting(std::string("--") + aOption + ": must be from 1 to 256");
+  }
+  return static_cast<std::uint32_t>(aValue);
+}
+
+std::string
+checkEndpoint(const std::string& aText, const char* aOption)
+{
+  const auto colon = aText.rfind(':');
+  std::int64_t port = 0;
+  std::istringstream in(colon == std::string::npos ? std::string()
+                                                   : aText.substr(colon + 1));
+  if (!(in >> port) || !in.eof()) {
+    throw BadSetting(std::string("--") + aOption + ": '" + aText +
+                     "' is not address:port");
+  }
+  checkPort(port, aOption);
+  checkAddress(aText.substr(0, colon), aOption);
+  return aText;
+}
+
+LogLevel
+checkLevel(const std::string& aText)
+{
+  constexpr std::pair<const char*, LogLevel> kLevels[] = {
+    { "debug", LogLevel::Debug },
+    { "info", LogLevel::Info },
+    { "warn", LogLevel::Warn },
+    { "error", LogLevel::Error },
+  };
+  for (const auto& [name, level] : kLevels) {
+    if (aText == name) {
+      return level;
+    }
+  }
+  throw BadSetting("--log-level: must be debug, info, warn or error");
+}
+
+std::string
+checkUrl(const std::string& aText)
+{
+  const std::string scheme = "http://";
+  if (aText.compare(0, scheme.size(), scheme) != 0) {
+    throw BadSetting("--platform: must be http://address:port");
+  }
+  checkEndpoint(aText.substr(scheme.size()), "platform");
+  return aText;
+}
+
+std::string
+checkText(const std::string& aText, const char* aOption)
+{
+  if (aText.empty()) {
+    throw BadSetting(std::string("--") + aOption + ": must not be empty");
+  }
+  return aText;
+}
+
+template<class Settings, class Fill>
+SettingsResult<Settings>
+run(const po::options_description& aOptions,
+    const std::vector<std::string>& aArguments,
+    Fill aFill)
+{
+  try {
+    const po::variables_map values = parse(aOptions, aArguments);
+    if (values.count("help") != 0) {
+      std::ostringstream help;
+      help << aOptions;
+      return tl::make_unexpected(SettingsError{ help.str(), true });
+    }
+    Settings settings;
+    aFill(values, settings);
+    return settings;
+  } catch (const std::exception& error) {
+    return tl::make_unexpected(SettingsError{ error.what(), false });
+  }
+}
+
+} // namespace
+
+SettingsResult<NodeSettings>
+parseNodeSettings(const std::vector<std::string>& aArguments)
+{
+  po::options_description options("toucanridge node");
+  options.add_options()("help", "print this help")(
+    "host", po::value<std::string>()->required(), "name of this host")(
+    "data-centre",
+    po::value<std::string>()->required(),
+    "data centre of this host")("address",
+                                po::value<std::string>()->required(),
+                                "IPv4 address to listen on")(
+    "http-port", po::value<std::int64_t>()->required(), "port for callers")(
+    "peer-port",
+    po::value<std::int64_t>()->required(),
+    "TCP and UDP port for other nodes")(
+    "platform",
+    po::value<std::string>()->required(),
+    "configuration service and host list, http://address:port")(
+    "traffic-threads",
+    po::value<std::int64_t>()->default_value(2),
+    "threads for links between nodes")(
+    "http-threads",
+    po::value<std::int64_t>()->default_value(8),
+    "threads of the HTTP library")("log-file",
+                                   po::value<std::string>()->default_value(""),
+                                   "log file; standard error when empty")(
+    "log-level",
+    po::value<std::string>()->default_value("info"),
+    "debug, info, warn or error");
+  return run<NodeSettings>(
+    options,
+    aArguments,
+    [](const po::variables_map& values, NodeSettings& settings) {
+      settings.host = checkText(values["host"].as<std::string>(), "host");
+      settings.dataCentre =
+        checkText(values["data-centre"].as<std::string>(), "data-centre");
+      settings.address =
+        checkAddress(values["address"].as<std::string>(), "address");
+      settings.httpPort =
+        checkPort(values["http-port"].as<std::int64_t>(), "http-port");
+      settings.peerPort =
+        checkPort(values["peer-port"].as<std::int64_t>(), "peer-port");
+      settings.platform = checkUrl(values["platform"].as<std::string>());
+      settings.trafficThreads = checkThreads(
+        values["traffic-threads"].as<std::int64_t>(), "traffic-threads");
+      settings.httpThreads =
+        checkThreads(values["http-threads"].as<std::int64_t>(), "http-threads");
+      settings.logFile = values["log-file"].as<std::string>();
+      settings.logLevel = checkLevel(values["log-level"].as<std::string>());
+    });
+}
+
+SettingsResult<QuerySettings>
+parseQuerySettings(const std::vector<std::string>& aArguments)
+{
+  po::options_description options("toucanridge query");
+  options.add_options()("help", "print this help")(
+    "entry",
+    po::value<std::vector<std::string>>()->required(),
+    "address:port of an entry host; may be repeated")(
+    "data-centre",
+    po::value<std::string>()->default_value(""),
+    "nearest data centre")(
+    "class", po::value<std::string>()->required(), "query class")(
+    "body", po::value<std::string>()->required(), "text of the query")(
+    "deadline-ms",
+    po::value<std::int64_t>()->default_value(0),
+    "deadline; 0 for that of the class")(
+    "json", po::bool_switch(), "print the answer as JSON");
+  return run<QuerySettings>(
+    options,
+    aArguments,
+    [](const po::variables_map& values, QuerySettings& settings) {
+      for (const auto& entry : values["entry"].as<std::vector<std::string>>()) {
+        settings.entries.push_back(checkEndpoint(entry, "entry"));
+      }
+      settings.dataCentre = values["data-centre"].as<std::string>();
+      settings.queryClass =
+        checkText(values["class"].as<std::string>(), "class");
+      settings.body = values["body"].as<std::string>();
+      const auto deadline = values["deadline-ms"].as<std::int64_t>();
+      if (deadline < 0 || deadline > 60000) {
+        throw BadSetting("--deadline-ms: must be from 0 to 60000");
+      }
+      settings.deadline = std::chrono::milliseconds(deadline);
+      settings.json = values["json"].as<bool>();
+    });
+}
+
+SettingsResult<StatusSettings>
+parseStatusSettings(const std::vector<std::string>& aArguments)
+{
+  po::options_description options("toucanridge status");
+  options.add_options()("help", "print this help")(
+    "entry",
+    po::value<std::string>()->required(),
+    "address:port of an entry host")("json", po::bool_switch(), "print JSON");
+  return run<StatusSettings>(
+    options,
+    aArguments,
+    [](const po::variables_map& values, StatusSettings& settings) {
+      settings.entry =
+        checkEndpoint(values["entry"].as<std::string>(), "entry");
+      settings.json = values["json"].as<bool>();
+    });
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/slot_chooser.cpp
@@ -0,0 +1,96 @@
+#include "slot_chooser_p.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace toucanridge {
+
+SlotChooser::SlotChooser(std::uint64_t aSeed, IsAlive aIsAlive)
+  : m_random(aSeed)
+  , m_isAlive(std::move(aIsAlive))
+{
+}
+
+std::optional<Target>
+SlotChooser::choose(const View& aView,
+                    std::size_t aService,
+                    const std::vector<Target>& aTried)
+{
+  struct Candidate
+  {
+    Target target;
+    std::uint32_t slots = 0;
+  };
+  std::vector<Candidate> candidates;
+  const ServiceRule& service = aView.rules->services[aService];
+  for (const SlotPlace& place : aView.placement[aService].slots) {
+    if (place.host == SlotPlace::kNoHost ||
+        service.servers[place.server].leaving) {
+      continue;
+    }
+    const auto host = static_cast<std::uint32_t>(place.host);
+    const auto same = [&](const Target& t) {
+      return t.server == place.server && t.host == host;
+    };
+    if (std::any_of(aTried.begin(), aTried.end(), same) ||
+        !m_isAlive(aView.hosts.hosts[host].name)) {
+      continue;
+    }
+    const auto known =
+      std::find_if(candidates.begin(),
+                   candidates.end(),
+                   [&](const Candidate& c) { return same(c.target); });
+    if (known != candidates.end()) {
+      ++known->slots;
+    } else {
+      candidates.push_back({ { place.server, host }, 1 });
+    }
+  }
+  // A server that has failed this part already is the last choice.
+  const auto failedServer = [&](const Candidate& aCandidate) {
+    return std::any_of(aTried.begin(), aTried.end(), [&](const Target& t) {
+      return t.server == aCandidate.target.server;
+    });
+  };
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  std::shuffle(candidates.begin(), candidates.end(), m_random);
+  std::optional<Target> best;
+  double bestLoad = std::numeric_limits<double>::max();
+  for (const Candidate& candidate : candidates) {
+    const Key key{ service.servers[candidate.target.server].name,
+                   aView.hosts.hosts[candidate.target.host].name };
+    const auto found = m_loads.find(key);
+    const Load load = found == m_loads.end() ? Load{} : found->second;
+    constexpr double kFailedPenalty = 1000.0;
+    const double value =
+      static_cast<double>(load.outstanding + load.queued) / candidate.slots +
+      (failedServer(candidate) ? kFailedPenalty : 0.0);
+    if (value < bestLoad) {
+      bestLoad = value;
+      best = candidate.target;
+    }
+  }
+  return best;
+}
+
+void
+SlotChooser::onSent(const std::string& aServer, const std::string& aHost)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_loads[{ aServer, aHost }].outstanding;
+}
+
+void
+SlotChooser::onEnded(const std::string& aServer,
+                     const std::string& aHost,
+                     std::uint32_t aQueued)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  Load& load = m_loads[{ aServer, aHost }];
+  if (load.outstanding > 0) {
+    --load.outstanding;
+  }
+  load.queued = aQueued;
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/slot_chooser_p.h
@@ -0,0 +1,67 @@
+#ifndef TOUCANRIDGE_SLOT_CHOOSER_P_H
+#define TOUCANRIDGE_SLOT_CHOOSER_P_H
+
+/// Chooses the server and the holder for a sub-request by estimated load.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "view_p.h"
+
+namespace toucanridge {
+
+/// Where a sub-request goes.
+struct Target
+{
+  std::uint32_t server = 0; ///< index into ServiceRule::servers
+  std::uint32_t host = 0;   ///< index into HostList::hosts
+};
+
+class SlotChooser
+{
+public:
+  /// @returns true when the host is believed to answer
+  using IsAlive = std::function<bool(const std::string& aHost)>;
+
+  SlotChooser(std::uint64_t aSeed, IsAlive aIsAlive);
+
+  /// Chooses the least loaded pair of server and holder.
+  /// @param[in] aService index into RuleSet::services
+  /// @param[in] aTried targets not to choose again
+  /// @returns nothing when no other target is left
+  std::optional<Target> choose(const View& aView,
+                               std::size_t aService,
+                               const std::vector<Target>& aTried);
+
+  /// Records a sent sub-request.
+  void onSent(const std::string& aServer, const std::string& aHost);
+  /// Records its end.
+  /// @param[in] aQueued queue length that the holder reported
+  void onEnded(const std::string& aServer,
+               const std::string& aHost,
+               std::uint32_t aQueued);
+
+private:
+  struct Load
+  {
+    std::uint32_t outstanding = 0;
+    std::uint32_t queued = 0;
+  };
+  using Key = std::pair<std::string, std::string>;
+
+  std::mutex m_mutex;
+  std::mt19937_64 m_random;
+  IsAlive m_isAlive;
+  std::map<Key, Load> m_loads;
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_SLOT_CHOOSER_P_H
--- /dev/null
+++ b/src/slot_table.cpp
@@ -0,0 +1,365 @@
+#include "slot_table_p.h"
+
+#include <algorithm>
+
+#include "log_p.h"
+
+namespace toucanridge {
+namespace {
+
+/// Sub-requests that may wait before one server; at the rates of the largest
+/// deployment a longer queue outlasts every deadline.
+constexpr std::size_t kMaxQueued = 64;
+
+SubReply
+makeReply(const SubTask& aTask, SubStatus aStatus, Errc aError)
+{
+  SubReply reply;
+  reply.query = aTask.batch->query;
+  reply.part = aTask.subItem().part;
+  reply.attempt = aTask.subItem().attempt;
+  reply.status = aStatus;
+  reply.error = static_cast<std::int32_t>(aError);
+  return reply;
+}
+
+bool
+isBefore(const SubTask& aLeft, const SubTask& aRight)
+{
+  if (aLeft.batch->priority != aRight.batch->priority) {
+    return aLeft.batch->priority > aRight.batch->priority;
+  }
+  return aLeft.deadline < aRight.deadline;
+}
+
+} // namespace
+
+SlotTable::SlotTable(const ClockI& aClock,
+                     const ViewHolder& aViews,
+                     const RightsI& aRights,
+                     WarmthI& aWarmth,
+                     BackendI& aBackend,
+                     std::string aSelf)
+  : m_clock(aClock)
+  , m_views(aViews)
+  , m_rights(aRights)
+  , m_warmth(aWarmth)
+  , m_backend(aBackend)
+  , m_self(std::move(aSelf))
+{
+}
+
+SlotTable::GatePtr
+SlotTable::gate(const std::string& aServer)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  GatePtr& found = m_gates[aServer];
+  if (!found) {
+    found = std::make_shared<Gate>();
+    found->server = aServer;
+  }
+  return found;
+}
+
+/// Marks the slots that this node holds in the current view. A slot that is
+/// busy keeps its entry until its request ends.
+void
+SlotTable::refresh(Gate& aGate, const std::string& aService) const
+{
+  ViewPtr view = m_views.get();
+  if (!view || view == aGate.view) {
+    return;
+  }
+  for (Slot& slot : aGate.slots) {
+    slot.held = false;
+  }
+  aGate.view = view;
+  const auto found = view->rules->serviceIndex.find(aService);
+  if (found == view->rules->serviceIndex.end()) {
+    return;
+  }
+  const ServiceRule& service = view->rules->services[found->second];
+  for (const SlotPlace& place : view->placement[found->second].slots) {
+    const bool mine = place.host != SlotPlace::kNoHost &&
+                      view->hosts.hosts[place.host].name == m_self;
+    const ServerRule& server = service.servers[place.server];
+    if (!mine || server.name != aGate.server || server.leaving) {
+      continue;
+    }
+    const auto slot =
+      std::find_if(aGate.slots.begin(), aGate.slots.end(), [&](const Slot& s) {
+        return s.index == place.slot;
+      });
+    if (slot != aGate.slots.end()) {
+      slot->held = true;
+    } else {
+      Slot added;
+      added.index = place.slot;
+      added.held = true;
+      aGate.slots.push_back(added);
+    }
+  }
+}
+
+/// Inserts by priority and deadline. When the queue is full, or the class
+/// fills its share, the last in that order is shed.
+void
+SlotTable::enqueue(Gate& aGate, Waiting aWork, Ended& aEnded) const
+{
+  const auto shed = [&aEnded](Waiting aVictim) {
+    SubReply reply =
+      makeReply(aVictim.task, SubStatus::NotRun, Errc::Overloaded);
+    aEnded.emplace_back(std::move(aVictim), std::move(reply));
+  };
+  const std::string& queryClass = aWork.task.batch->queryClass;
+  const auto sameClass =
+    std::count_if(aGate.queue.begin(), aGate.queue.end(), [&](const auto& w) {
+      return w.task.batch->queryClass == queryClass;
+    });
+  const double share =
+    aGate.view ? aGate.view->rules->shareOf(queryClass).atMost : 1.0;
+  if (static_cast<double>(sameClass) >= share * kMaxQueued) {
+    shed(std::move(aWork));
+    return;
+  }
+  const auto position =
+    std::upper_bound(aGate.queue.begin(),
+                     aGate.queue.end(),
+                     aWork,
+                     [](const Waiting& a, const Waiting& b) {
+                       return isBefore(a.task, b.task);
+                     });
+  aGate.queue.insert(position, std::move(aWork));
+  if (aGate.queue.size() > kMaxQueued) {
+    Waiting last = std::move(aGate.queue.back());
+    aGate.queue.pop_back();
+    shed(std::move(last));
+  }
+}
+
+void
+SlotTable::submit(SubTask aTask, Done aDone)
+{
+  const std::string service = aTask.subItem().service;
+  const GatePtr target = gate(aTask.subItem().server);
+  Ended ended;
+  {
+    const std::lock_guard<std::mutex> lock(target->mutex);
+    refresh(*target, service);
+    const bool holds = std::any_of(target->slots.begin(),
+                                   target->slots.end(),
+                                   [](const Slot& slot) { return slot.held; });
+    if (!holds) {
+      SubReply reply = makeReply(aTask, SubStatus::NotRun, Errc::NotHolder);
+      ended.emplace_back(Waiting{ std::move(aTask), std::move(aDone) },
+                         std::move(reply));
+    } else {
+      enqueue(*target, { std::move(aTask), std::move(aDone) }, ended);
+    }
+  }
+  for (auto& [work, reply] : ended) {
+    work.done(std::move(reply));
+  }
+  dispatch(target);
+}
+
+/// Takes the best waiting request that may be sent now.
+/// @returns false when nothing can be sent
+bool
+SlotTable::takeSend(Gate& aGate, Send& aSend, Ended& aEnded) const
+{
+  const TimePoint now = m_clock.now();
+  const auto expired = [now](const Waiting& aWork) {
+    return aWork.task.deadline <= now;
+  };
+  for (Waiting& work : aGate.queue) {
+    if (expired(work)) {
+      SubReply reply = makeReply(work.task, SubStatus::NotRun, Errc::TimedOut);
+      aEnded.emplace_back(work, std::move(reply));
+    }
+  }
+  aGate.queue.erase(
+    std::remove_if(aGate.queue.begin(), aGate.queue.end(), expired),
+    aGate.queue.end());
+  if (aGate.queue.empty()) {
+    return false;
+  }
+  const auto inUse = static_cast<std::uint32_t>(
+    std::count_if(aGate.slots.begin(), aGate.slots.end(), [](const Slot& s) {
+      return s.busy;
+    }));
+  for (Slot& slot : aGate.slots) {
+    const SlotKey key{ aGate.server, slot.index };
+    if (slot.busy || !slot.held || !m_warmth.mayUse(key, inUse) ||
+        !m_rights.mayUse(key)) {
+      continue;
+    }
+    aSend.work = std::move(aGate.queue.front());
+    aGate.queue.erase(aGate.queue.begin());
+    const SubTask& task = aSend.work.task;
+    slot.busy = true;
+    slot.handle = 0;
+    slot.origin = task.origin;
+    slot.query = task.batch->query;
+    aSend.slot = slot.index;
+    aSend.call = { key,
+                   task.subItem().service,
+                   task.batch->requestId,
+                   task.subItem().attempt,
+                   task.batch->snapshot,
+                   task.batch->idempotent,
+                   task.deadline - now,
+                   task.batch->body };
+    return true;
+  }
+  return false;
+}
+
+void
+SlotTable::dispatch(const GatePtr& aGate)
+{
+  while (true) {
+    Send send;
+    Ended ended;
+    bool sending = false;
+    {
+      const std::lock_guard<std::mutex> lock(aGate->mutex);
+      sending = takeSend(*aGate, send, ended);
+    }
+    for (auto& [work, reply] : ended) {
+      work.done(std::move(reply));
+    }
+    if (!sending) {
+      return;
+    }
+    start(aGate, std::move(send));
+  }
+}
+
+void
+SlotTable::start(const GatePtr& aGate, Send aSend)
+{
+  ++m_inFlight;
+  if (logEnabled(LogLevel::Debug)) {
+    logWrite(LogLevel::Debug,
+             LogLine("dispatch")
+               .add("request", aSend.call.requestId)
+               .add("attempt", aSend.call.attempt)
+               .add("server", aSend.call.key.server)
+               .add("slot", aSend.call.key.slot));
+  }
+  const std::uint32_t slotIndex = aSend.slot;
+  const std::uint64_t query = aSend.work.task.batch->query;
+  const std::uint64_t handle = m_backend.send(
+    std::move(aSend.call),
+    [this, aGate, slotIndex, work = std::move(aSend.work)](BackendReply reply) {
+      finish(aGate, slotIndex, work, reply);
+    });
+  const std::lock_guard<std::mutex> lock(aGate->mutex);
+  for (Slot& slot : aGate->slots) {
+    // The reply may have come already and the slot serve another query.
+    if (slot.index == slotIndex && slot.busy && slot.query == query) {
+      slot.handle = handle;
+    }
+  }
+}
+
+void
+SlotTable::finish(const GatePtr& aGate,
+                  std::uint32_t aSlot,
+                  const Waiting& aWork,
+                  const BackendReply& aReply)
+{
+  --m_inFlight;
+  m_warmth.onReply({ aGate->server, aSlot }, aReply);
+  SubReply reply = makeReply(aWork.task, aReply.status, aReply.error);
+  reply.body = aReply.body;
+  reply.snapshot = aReply.snapshot;
+  reply.serverIncarnation = aReply.incarnation;
+  {
+    const std::lock_guard<std::mutex> lock(aGate->mutex);
+    reply.queued = static_cast<std::uint32_t>(aGate->queue.size());
+    for (Slot& slot : aGate->slots) {
+      if (slot.index == aSlot) {
+        slot.busy = false;
+      }
+    }
+  }
+  aWork.done(std::move(reply));
+  dispatch(aGate);
+}
+
+void
+SlotTable::cancel(const std::string& aOrigin, std::uint64_t aQuery)
+{
+  std::vector<GatePtr> gates;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& entry : m_gates) {
+      gates.push_back(entry.second);
+    }
+  }
+  std::vector<std::uint64_t> running;
+  for (const GatePtr& target : gates) {
+    const std::lock_guard<std::mutex> lock(target->mutex);
+    const auto matches = [&](const Waiting& w) {
+      return w.task.batch->query == aQuery && w.task.origin == aOrigin;
+    };
+    auto& queue = target->queue;
+    queue.erase(std::remove_if(queue.begin(), queue.end(), matches),
+                queue.end());
+    for (const Slot& slot : target->slots) {
+      if (slot.busy && slot.query == aQuery && slot.origin == aOrigin &&
+          slot.handle != 0) {
+        running.push_back(slot.handle);
+      }
+    }
+  }
+  for (const std::uint64_t handle : running) {
+    m_backend.cancel(handle);
+  }
+}
+
+void
+SlotTable::sweep()
+{
+  std::vector<GatePtr> gates;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& entry : m_gates) {
+      gates.push_back(entry.second);
+    }
+  }
+  for (const GatePtr& target : gates) {
+    {
+      const std::lock_guard<std::mutex> lock(target->mutex);
+      if (target->queue.empty()) {
+        continue;
+      }
+      const std::string service = target->queue.front().task.subItem().service;
+      refresh(*target, service);
+    }
+    dispatch(target);
+  }
+}
+
+std::vector<GateStatus>
+SlotTable::status() const
+{
+  std::vector<GateStatus> list;
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& [server, target] : m_gates) {
+    const std::lock_guard<std::mutex> gateLock(target->mutex);
+    GateStatus status;
+    status.server = server;
+    status.queued = static_cast<std::uint32_t>(target->queue.size());
+    for (const Slot& slot : target->slots) {
+      status.held += slot.held ? 1 : 0;
+      status.inUse += slot.busy ? 1 : 0;
+    }
+    list.push_back(status);
+  }
+  return list;
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/status_http.cpp
@@ -0,0 +1,125 @@
+#include "status_p.h"
+
+#include <sstream>
+
+#include <cpprest/json.h>
+
+#include "log_p.h"
+
+namespace toucanridge {
+namespace {
+
+namespace json = web::json;
+
+json::value
+number(std::uint64_t aValue)
+{
+  return json::value::number(aValue);
+}
+
+json::value
+countersJson(const EngineCounters& aCounters)
+{
+  json::value body = json::value::object();
+  body["queries"] = number(aCounters.queries);
+  body["whole"] = number(aCounters.whole);
+  body["partial"] = number(aCounters.partial);
+  body["not_run"] = number(aCounters.notRun);
+  body["unknown"] = number(aCounters.unknown);
+  body["first_attempts"] = number(aCounters.firstAttempts);
+  body["retries"] = number(aCounters.retries);
+  body["hedges"] = number(aCounters.hedges);
+  body["dropped_replies"] = number(aCounters.droppedReplies);
+  return body;
+}
+
+json::value
+viewJson(const View& aView)
+{
+  json::value body = json::value::object();
+  body["rules_revision"] = number(aView.id.rules);
+  body["hosts_revision"] = number(aView.id.hosts);
+  std::vector<json::value> hosts;
+  for (const Host& host : aView.hosts.hosts) {
+    json::value entry = json::value::object();
+    entry["host"] = json::value::string(host.name);
+    entry["data_centre"] = json::value::string(host.dataCentre);
+    entry["in_service"] = json::value::boolean(aView.inService(host));
+    hosts.push_back(entry);
+  }
+  body["hosts"] = json::value::array(hosts);
+  std::vector<json::value> centres;
+  for (const DataCentreRule& rule : aView.rules->dataCentres) {
+    json::value entry = json::value::object();
+    entry["data_centre"] = json::value::string(rule.name);
+    entry["in_service"] = json::value::boolean(rule.inService);
+    entry["line"] = json::value::number(rule.from.line);
+    entry["asked_by"] = json::value::string(rule.from.askedBy);
+    centres.push_back(entry);
+  }
+  body["data_centres"] = json::value::array(centres);
+  return body;
+}
+
+} // namespace
+
+std::string
+renderStatus(const NodeFacts& aFacts,
+             const ViewPtr& aView,
+             const std::vector<GateStatus>& aGates,
+             const EngineCounters& aCounters)
+{
+  json::value body = json::value::object();
+  body["host"] = json::value::string(aFacts.host);
+  body["data_centre"] = json::value::string(aFacts.dataCentre);
+  body["incarnation"] = number(aFacts.incarnation);
+  body["refused_revision"] = number(aFacts.refusedRevision);
+  body["log_lines_dropped"] = number(logDropped());
+  body["counters"] = countersJson(aCounters);
+  if (aView) {
+    body["view"] = viewJson(*aView);
+  }
+  std::vector<json::value> servers;
+  for (const GateStatus& gate : aGates) {
+    json::value entry = json::value::object();
+    entry["server"] = json::value::string(gate.server);
+    entry["slots_held"] = json::value::number(gate.held);
+    entry["in_use"] = json::value::number(gate.inUse);
+    entry["queued"] = json::value::number(gate.queued);
+    servers.push_back(entry);
+  }
+  body["servers"] = json::value::array(servers);
+  return body.serialize();
+}
+
+std::string
+renderMetrics(const ViewPtr& aView,
+              const std::vector<GateStatus>& aGates,
+              const EngineCounters& aCounters)
+{
+  std::ostringstream out;
+  const auto counter = [&out](const char* name, std::uint64_t value) {
+    out << "# TYPE toucanridge_" << name << " counter\n"
+        << "toucanridge_" << name << ' ' << value << '\n';
+  };
+  counter("queries_total", aCounters.queries);
+  counter("answers_whole_total", aCounters.whole);
+  counter("answers_partial_total", aCounters.partial);
+  counter("answers_not_run_total", aCounters.notRun);
+  counter("answers_unknown_total", aCounters.unknown);
+  counter("first_attempts_total", aCounters.firstAttempts);
+  counter("retries_total", aCounters.retries);
+  counter("hedges_total", aCounters.hedges);
+  counter("dropped_replies_total", aCounters.droppedReplies);
+  counter("log_lines_dropped_total", logDropped());
+  out << "# TYPE toucanridge_rules_revision gauge\n"
+      << "toucanridge_rules_revision " << (aView ? aView->id.rules : 0) << '\n'
+      << "# TYPE toucanridge_slots_in_use gauge\n";
+  for (const GateStatus& gate : aGates) {
+    out << "toucanridge_slots_in_use{server=\"" << gate.server << "\"} "
+        << gate.inUse << '\n';
+  }
+  return out.str();
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/wire_p.h
@@ -0,0 +1,224 @@
+#ifndef TOUCANRIDGE_WIRE_P_H
+#define TOUCANRIDGE_WIRE_P_H
+
+/// Messages between nodes and their cereal encoding.
+
+#include <cstdint>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include "toucanridge/toucanridge.h"
+
+namespace toucanridge {
+
+/// Largest TCP frame, header excluded, in bytes.
+constexpr std::size_t kMaxFrameBytes = 4U << 20U;
+/// Largest UDP datagram, in bytes; stays below the usual MTU.
+constexpr std::size_t kMaxDatagramBytes = 1200;
+/// Largest element count of a container in a message.
+constexpr std::uint32_t kMaxElements = 8192;
+
+/// Thrown while decoding, caught in decode().
+struct DecodeError : cereal::Exception
+{
+  using cereal::Exception::Exception;
+};
+
+// cereal resizes a container to the count found in the payload before it reads
+// the elements, so messages use these two functions, which bound it first.
+
+template<class Archive>
+void
+wireText(Archive& aArchive, std::string& aText)
+{
+  auto size = static_cast<std::uint32_t>(aText.size());
+  aArchive(size);
+  if constexpr (Archive::is_loading::value) {
+    if (size > kMaxFrameBytes) {
+      throw DecodeError("text over the frame limit");
+    }
+    aText.resize(size);
+  }
+  aArchive(cereal::binary_data(aText.data(), size));
+}
+
+template<class Archive, class T>
+void
+wireList(Archive& aArchive, std::vector<T>& aList)
+{
+  auto size = static_cast<std::uint32_t>(aList.size());
+  aArchive(size);
+  if constexpr (Archive::is_loading::value) {
+    if (size > kMaxElements) {
+      throw DecodeError("too many elements");
+    }
+    aList.clear();
+  }
+  for (std::uint32_t i = 0; i < size; ++i) {
+    if constexpr (Archive::is_loading::value) {
+      aList.emplace_back();
+    }
+    aArchive(aList[i]);
+  }
+}
+
+enum class MessageType : std::uint8_t
+{
+  Hello = 1,
+  Ping = 2,
+  Pong = 3,
+  SubBatch = 4,
+  SubReply = 5,
+  Cancel = 6,
+};
+
+/// First frame on a link, from the side that connected.
+struct Hello
+{
+  std::string host;
+  std::uint64_t incarnation = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    wireText(aArchive, host);
+    aArchive(incarnation);
+  }
+};
+
+/// One sub-request of a batch.
+struct SubItem
+{
+  std::uint32_t part = 0; ///< index into the query's services
+  std::uint32_t attempt = 0;
+  std::string service;
+  std::string server; ///< "address:port"
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(part, attempt);
+    wireText(aArchive, service);
+    wireText(aArchive, server);
+  }
+};
+
+/// All sub-requests of one query for one holder.
+struct SubBatch
+{
+  std::uint64_t query = 0;
+  std::uint64_t snapshot = 0;
+  std::string requestId;
+  std::string queryClass;
+  std::uint8_t priority = 0;
+  bool idempotent = true;
+  std::uint64_t fingerprint = 0;
+  std::int64_t deadlineUs = 0; ///< time left, in microseconds
+  std::string body;
+  std::vector<SubItem> items;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(query, snapshot, priority, idempotent, fingerprint, deadlineUs);
+    wireText(aArchive, requestId);
+    wireText(aArchive, queryClass);
+    wireText(aArchive, body);
+    wireList(aArchive, items);
+  }
+};
+
+/// How a sub-request ended at its holder.
+enum class SubStatus : std::uint8_t
+{
+  Done,
+  NotRun,     ///< no byte can have reached the server, or it refused
+  NoSnapshot, ///< the server does not hold the snapshot; it did not run
+  Lost,       ///< the connection broke: it may have run
+  TimedOut,   ///< no reply within the deadline: it may have run
+};
+
+/// The reply to one sub-request.
+struct SubReply
+{
+  std::uint64_t query = 0;
+  std::uint32_t part = 0;
+  std::uint32_t attempt = 0;
+  SubStatus status = SubStatus::NotRun;
+  std::int32_t error = 0; ///< Errc when the status isn't Done
+  std::string body;
+  std::uint64_t snapshot = 0;
+  std::uint64_t serverIncarnation = 0;
+  std::uint32_t queued = 0; ///< sub-requests waiting for that server there
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(query, part, attempt, status, error);
+    wireText(aArchive, body);
+    aArchive(snapshot, serverIncarnation, queued);
+  }
+};
+
+/// Ends all work of a query at a holder.
+struct Cancel
+{
+  std::uint64_t query = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(query);
+  }
+};
+
+/// Progress check on a link.
+struct Ping
+{
+  std::uint64_t sequence = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(sequence);
+  }
+};
+
+/// Encodes a message.
+template<class Message>
+std::string
+encode(Message aMessage)
+{
+  std::ostringstream out(std::ios::binary);
+  {
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(aMessage);
+  }
+  return out.str();
+}
+
+/// Decodes a message.
+/// @returns nothing when the bytes are malformed, truncated or over a limit
+template<class Message>
+std::optional<Message>
+decode(std::string_view aBytes)
+{
+  try {
+    std::istringstream in(std::string(aBytes), std::ios::binary);
+    cereal::PortableBinaryInputArchive archive(in);
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_WIRE_P_H
