--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,8 +2,13 @@
 # Runs clang-tidy over every source of the compilation database.
 set -eu
 build=${1:-build}
+mkdir -p "$build/lint"
+# clang can't read the precompiled header that gcc made.
+sed -E 's/-Winvalid-pch//; s/-include [^ ]*cmake_pch\.hxx//' \
+  "$build/compile_commands.json" >"$build/lint/compile_commands.json"
 git ls-files 'src/*.cpp' 'tools/*.cpp' 'tests/*.cpp' |
-  xargs -P "$(nproc)" -n 1 clang-tidy -quiet -p "$build" 2>&1 |
-  grep -E 'warning:|error:' | grep -v 'warnings treated as errors' | sort -u > "$build/lint.txt" || true
-cat "$build/lint.txt"
-[ ! -s "$build/lint.txt" ]
+  xargs -P "$(nproc)" -n 1 clang-tidy -quiet -p "$build/lint" \
+    >"$build/lint/out.txt" 2>/dev/null || true
+grep -E 'warning:|error:' "$build/lint/out.txt" | sort -u >"$build/lint/faults.txt" || true
+cat "$build/lint/faults.txt"
+[ ! -s "$build/lint/faults.txt" ]
--- a/src/backend_http.cpp
+++ b/src/backend_http.cpp
@@ -149,8 +149,8 @@
     client = state->client(aCall.key);
   }
   running->timer.expires_after(aCall.timeLeft);
-  running->timer.async_wait([running](const boost::system::error_code& error) {
-    if (!error) {
+  running->timer.async_wait([running](const boost::system::error_code& aError) {
+    if (!aError) {
       running->timedOut = true;
       running->cancel.cancel();
     }
@@ -159,14 +159,14 @@
   const auto reply = std::make_shared<BackendReply>();
   const auto started = SystemClock().now();
   client->request(makeRequest(*call), running->cancel.get_token())
-    .then([call, reply](const http::http_response& response) {
-      *reply = readReply(response, *call);
-      return response.extract_utf8string(true);
+    .then([call, reply](const http::http_response& aResponse) {
+      *reply = readReply(aResponse, *call);
+      return aResponse.extract_utf8string(true);
     })
     .then([state, running, client, handle, call, reply, started, aDone](
-            const pplx::task<std::string>& body) {
+            const pplx::task<std::string>& aBody) {
       try {
-        reply->body = body.get();
+        reply->body = aBody.get();
       } catch (const http::http_exception& error) {
         const bool unconnected = error.error_code().value() == kConnectFailed;
         reply->status = unconnected ? SubStatus::NotRun : SubStatus::Lost;
--- a/src/caller_http.cpp
+++ b/src/caller_http.cpp
@@ -124,7 +124,7 @@
   {
   }
 
-  using Route = void (Impl::*)(http::http_request);
+  using Route = void (Impl::*)(const http::http_request&);
   struct Entry
   {
     const char* method;
@@ -134,10 +134,10 @@
   static const Entry kRoutes[];
 
   void dispatch(const http::http_request& aRequest);
-  void addresses(http::http_request aRequest);
-  void query(http::http_request aRequest);
-  void status(http::http_request aRequest);
-  void metrics(http::http_request aRequest);
+  void addresses(const http::http_request& aRequest);
+  void query(const http::http_request& aRequest);
+  void status(const http::http_request& aRequest);
+  void metrics(const http::http_request& aRequest);
 
   CallerApiI& api;
   std::unique_ptr<http::experimental::listener::http_listener> listener;
@@ -171,7 +171,7 @@
 }
 
 void
-CallerHttp::Impl::addresses(http::http_request aRequest)
+CallerHttp::Impl::addresses(const http::http_request& aRequest)
 {
   const auto query = web::uri::split_query(aRequest.relative_uri().query());
   const auto dataCentre = query.find("data_centre");
@@ -181,7 +181,7 @@
 }
 
 void
-CallerHttp::Impl::query(http::http_request aRequest)
+CallerHttp::Impl::query(const http::http_request& aRequest)
 {
   // cpprestsdk would read a body of any length into memory.
   if (!aRequest.headers().has("Content-Length") ||
@@ -191,31 +191,33 @@
            "a body of at most 1 MiB with a Content-Length is required");
     return;
   }
-  aRequest.extract_utf8string(true).then(
-    [this, aRequest](const pplx::task<std::string>& body) {
-      QueryRequest request;
+  // A request is a handle; the copy shares its body.
+  http::http_request request = aRequest;
+  request.extract_utf8string(true).then(
+    [this, aRequest](const pplx::task<std::string>& aBody) {
+      QueryRequest parsed;
       try {
-        request = parseQuery(body.get());
+        parsed = parseQuery(aBody.get());
       } catch (const std::exception& error) {
         refuse(aRequest,
                http::status_codes::BadRequest,
                std::string("malformed query: ") + error.what());
         return;
       }
-      api.query(std::move(request), [aRequest](const QueryAnswer& answer) {
-        aRequest.reply(statusOf(answer), toJson(answer));
+      api.query(std::move(parsed), [aRequest](const QueryAnswer& aNswer) {
+        aRequest.reply(statusOf(aNswer), toJson(aNswer));
       });
     });
 }
 
 void
-CallerHttp::Impl::status(http::http_request aRequest)
+CallerHttp::Impl::status(const http::http_request& aRequest)
 {
   aRequest.reply(http::status_codes::OK, api.statusJson(), "application/json");
 }
 
 void
-CallerHttp::Impl::metrics(http::http_request aRequest)
+CallerHttp::Impl::metrics(const http::http_request& aRequest)
 {
   aRequest.reply(
     http::status_codes::OK, api.metricsText(), "text/plain; version=0.0.4");
@@ -236,8 +238,8 @@
       std::make_unique<http::experimental::listener::http_listener>(
         "http://" + aAddress + ":" + std::to_string(aPort));
     m_impl->listener->support(
-      [impl = m_impl.get()](const http::http_request& request) {
-        impl->dispatch(request);
+      [impl = m_impl.get()](const http::http_request& aRequest) {
+        impl->dispatch(aRequest);
       });
     m_impl->listener->open().wait();
   } catch (const std::exception& error) {
--- a/src/clock_p.h
+++ b/src/clock_p.h
@@ -14,7 +14,7 @@
   using period = Duration::period;
   using duration = Duration;
   using time_point = std::chrono::time_point<MonotonicTag, Duration>;
-  static constexpr bool is_steady = true;
+  static constexpr bool kIsSteady = true;
 };
 
 using TimePoint = MonotonicTag::time_point;
--- a/src/frame_stream.cpp
+++ b/src/frame_stream.cpp
@@ -58,14 +58,14 @@
   auto self = shared_from_this();
   asio::post(m_socket.get_executor(), [this, self, aEndpoint, aTimeout] {
     m_timer.expires_after(aTimeout);
-    m_timer.async_wait([this, self](const boost::system::error_code& error) {
-      if (!error && !m_open) {
+    m_timer.async_wait([this, self](const boost::system::error_code& aError) {
+      if (!aError && !m_open) {
         end("connect-timeout");
       }
     });
     m_socket.async_connect(
-      aEndpoint, [this, self](const boost::system::error_code& error) {
-        if (error) {
+      aEndpoint, [this, self](const boost::system::error_code& aError) {
+        if (aError) {
           end("connect-failed");
         } else if (!m_ended) {
           m_timer.cancel();
@@ -127,8 +127,8 @@
   asio::async_read(
     m_socket,
     asio::buffer(m_header),
-    [this, self](const boost::system::error_code& error, std::size_t) {
-      if (error) {
+    [this, self](const boost::system::error_code& aError, std::size_t) {
+      if (aError) {
         end("read-failed");
         return;
       }
@@ -153,8 +153,8 @@
   asio::async_read(
     m_socket,
     asio::buffer(m_payload),
-    [this, self, aType](const boost::system::error_code& error, std::size_t) {
-      if (error) {
+    [this, self, aType](const boost::system::error_code& aError, std::size_t) {
+      if (aError) {
         end("read-failed");
         return;
       }
@@ -198,9 +198,9 @@
   asio::async_write(
     m_socket,
     buffers,
-    [this, self, frame](const boost::system::error_code& error, std::size_t) {
+    [this, self, frame](const boost::system::error_code& aError, std::size_t) {
       m_writing = false;
-      if (error) {
+      if (aError) {
         end("write-failed");
         return;
       }
@@ -223,9 +223,9 @@
   m_watching = true;
   m_timer.expires_after(kProgressTick);
   auto self = shared_from_this();
-  m_timer.async_wait([this, self](const boost::system::error_code& error) {
+  m_timer.async_wait([this, self](const boost::system::error_code& aError) {
     m_watching = false;
-    if (error || m_ended || m_answered) {
+    if (aError || m_ended || m_answered) {
       return;
     }
     if (steady_clock::now() - m_silentSince >= kSilenceLimit) {
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -141,20 +141,20 @@
 Node::Impl::init()
 {
   PeerLinks::Handlers handlers;
-  handlers.onRequest = [this](const std::string& host,
-                              MessageType type,
-                              const std::string& payload,
-                              const PeerLinks::Reply& reply) {
-    onPeerRequest(host, type, payload, reply);
+  handlers.onRequest = [this](const std::string& aHost,
+                              MessageType aType,
+                              const std::string& aPayload,
+                              const PeerLinks::Reply& aReply) {
+    onPeerRequest(aHost, aType, aPayload, aReply);
   };
-  handlers.onReply = [this](const std::string& host,
-                            MessageType type,
-                            const std::string& payload) {
-    onPeerReply(host, type, payload);
+  handlers.onReply = [this](const std::string& aHost,
+                            MessageType aType,
+                            const std::string& aPayload) {
+    onPeerReply(aHost, aType, aPayload);
   };
-  handlers.onLost = [this](const std::string& host,
-                           const std::vector<std::uint64_t>& unsent) {
-    engine.onLinkLost(host, unsent);
+  handlers.onLost = [this](const std::string& aHost,
+                           const std::vector<std::uint64_t>& aUnsent) {
+    engine.onLinkLost(aHost, aUnsent);
   };
   std::error_code error =
     links.init(settings.address, settings.peerPort, std::move(handlers));
@@ -272,9 +272,10 @@
 {
   if (aHost.name == settings.host) {
     asio::post(traffic, [this, batch = std::move(aBatch)]() mutable {
-      submitBatch(settings.host, std::move(batch), [this](SubReply reply) {
-        engine.onReply(settings.host, reply);
-      });
+      submitBatch(
+        settings.host, std::move(batch), [this](const SubReply& aReply) {
+          engine.onReply(settings.host, aReply);
+        });
     });
     return;
   }
@@ -310,8 +311,8 @@
 {
   if (aType == MessageType::SubBatch) {
     if (auto batch = decode<SubBatch>(aPayload)) {
-      submitBatch(aHost, std::move(*batch), [aReply](SubReply reply) {
-        aReply(MessageType::SubReply, encode(std::move(reply)));
+      submitBatch(aHost, std::move(*batch), [aReply](SubReply aSubReply) {
+        aReply(MessageType::SubReply, encode(std::move(aSubReply)));
       });
       return;
     }
@@ -352,8 +353,8 @@
   platform.readRules(
     rulesRevision,
     milliseconds(0),
-    [this](tl::expected<PublishedRules, std::error_code> published) {
-      asio::post(control, [this, published = std::move(published)] {
+    [this](tl::expected<PublishedRules, std::error_code> aPublished) {
+      asio::post(control, [this, published = std::move(aPublished)] {
         if (published) {
           applyRules(*published);
         } else {
@@ -363,8 +364,8 @@
         }
       });
     });
-  platform.readHosts([this](tl::expected<HostList, std::error_code> list) {
-    asio::post(control, [this, list = std::move(list)] {
+  platform.readHosts([this](tl::expected<HostList, std::error_code> aList) {
+    asio::post(control, [this, list = std::move(aList)] {
       if (list && list->revision > hosts.revision) {
         hosts = *list;
         rebuildView();
@@ -372,8 +373,8 @@
     });
   });
   pollTimer.expires_after(kPlatformPoll);
-  pollTimer.async_wait([this](const boost::system::error_code& error) {
-    if (!error && !stopping) {
+  pollTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError && !stopping) {
       pollPlatform();
     }
   });
@@ -421,8 +422,8 @@
 {
   slots.sweep();
   sweepTimer.expires_after(kSweepEvery);
-  sweepTimer.async_wait([this](const boost::system::error_code& error) {
-    if (!error && !stopping) {
+  sweepTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError && !stopping) {
       sweepLater();
     }
   });
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -72,12 +72,12 @@
 {
   m_acceptor.async_accept(
     asio::make_strand(m_context),
-    [this](const boost::system::error_code& error, tcp::socket socket) {
-      if (error == asio::error::operation_aborted) {
+    [this](const boost::system::error_code& aError, tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted) {
         return;
       }
-      if (!error) {
-        serve(std::make_shared<FrameStream>(std::move(socket)));
+      if (!aError) {
+        serve(std::make_shared<FrameStream>(std::move(aSocket)));
       }
       acceptNext();
     });
@@ -96,26 +96,26 @@
   auto peer = std::make_shared<Hello>();
   const std::weak_ptr<FrameStream> weak = aStream;
   FrameStream* const key = aStream.get();
-  const Reply reply = [weak](MessageType type, std::string payload) {
+  const Reply reply = [weak](MessageType aType, std::string aPayload) {
     if (const StreamPtr stream = weak.lock()) {
-      stream->send(type, std::move(payload));
+      stream->send(aType, std::move(aPayload));
     }
   };
   aStream->accept(
-    [this, peer, weak, reply](MessageType type, const std::string& payload) {
-      if (type == MessageType::Hello) {
-        if (auto hello = decode<Hello>(payload)) {
+    [this, peer, weak, reply](MessageType aType, const std::string& aPayload) {
+      if (aType == MessageType::Hello) {
+        if (auto hello = decode<Hello>(aPayload)) {
           *peer = std::move(*hello);
           return;
         }
       } else if (!peer->host.empty()) {
-        m_handlers.onRequest(peer->host, type, payload, reply);
+        m_handlers.onRequest(peer->host, aType, aPayload, reply);
         return;
       }
       logWrite(LogLevel::Warn,
                LogLine("peer-refused")
                  .add("reason", "no-hello")
-                 .add("type", static_cast<int>(type)));
+                 .add("type", static_cast<int>(aType)));
       if (const StreamPtr stream = weak.lock()) {
         stream->close("no-hello");
       }
@@ -138,11 +138,11 @@
   stream->connect(
     endpoint,
     kConnectTimeout,
-    [this, aHost](MessageType type, const std::string& payload) {
-      m_handlers.onReply(aHost, type, payload);
+    [this, aHost](MessageType aType, const std::string& aPayload) {
+      m_handlers.onReply(aHost, aType, aPayload);
     },
-    [this, aHost, key](const char* reason,
-                       const std::vector<std::uint64_t>& unsent) {
+    [this, aHost, key](const char* aReason,
+                       const std::vector<std::uint64_t>& aUnsent) {
       {
         const std::lock_guard<std::mutex> lock(m_mutex);
         const auto found = m_links.find(aHost);
@@ -151,8 +151,8 @@
         }
       }
       logWrite(LogLevel::Info,
-               LogLine("link-lost").add("peer", aHost).add("reason", reason));
-      m_handlers.onLost(aHost, unsent);
+               LogLine("link-lost").add("peer", aHost).add("reason", aReason));
+      m_handlers.onLost(aHost, aUnsent);
     });
   stream->send(MessageType::Hello, encode(m_self));
   return stream;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -25,9 +25,10 @@
     for (const DataCentreRule& rule : aView.rules->dataCentres) {
       rules.push_back(&rule);
     }
-    std::sort(rules.begin(), rules.end(), [](const auto* a, const auto* b) {
-      return a->name < b->name;
-    });
+    std::sort(
+      rules.begin(), rules.end(), [](const auto* a_, const auto* aRight) {
+        return a_->name < aRight->name;
+      });
     for (const DataCentreRule* rule : rules) {
       std::vector<Candidate> candidates;
       const auto& hosts = aView.hosts.hosts;
--- a/src/platform_http.cpp
+++ b/src/platform_http.cpp
@@ -76,17 +76,17 @@
          Done aDone)
 {
   aClient.request(http::methods::GET, aPath)
-    .then([](const http::http_response& response) {
-      if (response.status_code() != http::status_codes::OK) {
+    .then([](const http::http_response& aResponse) {
+      if (aResponse.status_code() != http::status_codes::OK) {
         throw http::http_exception("status " +
-                                   std::to_string(response.status_code()));
+                                   std::to_string(aResponse.status_code()));
       }
-      return response.extract_json(true);
+      return aResponse.extract_json(true);
     })
-    .then([aParse, aDone](const pplx::task<json::value>& body) {
+    .then([aParse, aDone](const pplx::task<json::value>& aBody) {
       tl::expected<Value, std::error_code> result;
       try {
-        result = aParse(body.get());
+        result = aParse(aBody.get());
       } catch (const json::json_exception&) {
         result = tl::make_unexpected(make_error_code(Errc::BadMessage));
       } catch (const std::exception&) {
--- a/src/query.cpp
+++ b/src/query.cpp
@@ -55,8 +55,8 @@
   }
   m_deadlineTimer.expires_after(m_deadline - m_start);
   auto self = shared_from_this();
-  m_deadlineTimer.async_wait([self](const boost::system::error_code& error) {
-    if (!error) {
+  m_deadlineTimer.async_wait([self](const boost::system::error_code& aError) {
+    if (!aError) {
       self->onDeadline();
     }
   });
@@ -70,7 +70,7 @@
     return;
   }
   lock.unlock();
-  sendAll(std::move(batches));
+  sendAll(batches);
 }
 
 /// Reads class, snapshot and services from the view.
@@ -155,7 +155,7 @@
 }
 
 void
-Query::sendAll(Batches aBatches)
+Query::sendAll(Batches& aBatches)
 {
   for (auto& [index, batch] : aBatches) {
     batch.query = m_id;
@@ -241,7 +241,7 @@
     return;
   }
   lock.unlock();
-  sendAll(std::move(batches));
+  sendAll(batches);
 }
 
 void
@@ -273,18 +273,18 @@
     return;
   }
   lock.unlock();
-  sendAll(std::move(batches));
+  sendAll(batches);
 }
 
 /// @returns true when no part can get an answer any more, or all have one
 bool
 Query::isSettled() const
 {
-  return std::all_of(m_parts.begin(), m_parts.end(), [](const Part& part) {
-    return part.answered ||
-           std::none_of(part.attempts.begin(),
-                        part.attempts.end(),
-                        [](const Attempt& a) { return a.running; });
+  return std::all_of(m_parts.begin(), m_parts.end(), [](const Part& aPart) {
+    return aPart.answered ||
+           std::none_of(aPart.attempts.begin(),
+                        aPart.attempts.end(),
+                        [](const Attempt& a_) { return a_.running; });
   });
 }
 
@@ -315,8 +315,8 @@
     return Outcome::Partial;
   }
   const bool mayHaveRun =
-    std::any_of(m_parts.begin(), m_parts.end(), [](const Part& part) {
-      return part.mayHaveRun;
+    std::any_of(m_parts.begin(), m_parts.end(), [](const Part& aPart) {
+      return aPart.mayHaveRun;
     });
   return mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
 }
--- a/src/query_p.h
+++ b/src/query_p.h
@@ -47,7 +47,7 @@
   bool plan();
   void refuse(Errc aReason);
   bool attempt(std::uint32_t aPart, Batches& aBatches);
-  void sendAll(Batches aBatches);
+  void sendAll(Batches& aBatches);
   void fail(std::uint32_t aPart,
             Attempt& aAttempt,
             SubStatus aStatus,
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,9 +56,9 @@
 RuleSet::findDataCentre(const std::string& aName) const
 {
   const auto found =
-    std::find_if(dataCentres.begin(), dataCentres.end(), [&](const auto& dc) {
-      return dc.name == aName;
-    });
+    std::find_if(dataCentres.begin(),
+                 dataCentres.end(),
+                 [&](const auto& aRule) { return aRule.name == aName; });
   return found == dataCentres.end() ? nullptr : &*found;
 }
 
@@ -112,8 +112,8 @@
   if (aRules.rights.from.line != 0) {
     list.push_back(aRules.rights.from);
   }
-  std::sort(list.begin(), list.end(), [](const auto& a, const auto& b) {
-    return a.line < b.line;
+  std::sort(list.begin(), list.end(), [](const auto& a_, const auto& aRight) {
+    return a_.line < aRight.line;
   });
   if (aRules.rights.from.line == 0) {
     list.push_back(leaseOrigin(aRules));
@@ -154,8 +154,8 @@
   for (const auto& [name, host] : aRules.hostsOut) {
     list.push_back(toGoverning(host.from));
   }
-  std::sort(list.begin(), list.end(), [](const auto& a, const auto& b) {
-    return a.line < b.line;
+  std::sort(list.begin(), list.end(), [](const auto& a_, const auto& aRight) {
+    return a_.line < aRight.line;
   });
   return list;
 }
--- a/src/rules_parse.cpp
+++ b/src/rules_parse.cpp
@@ -68,9 +68,9 @@
 isName(const std::string& aText)
 {
   return !aText.empty() && aText.size() <= 64 &&
-         std::all_of(aText.begin(), aText.end(), [](unsigned char c) {
-           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '/' ||
-                  c == '.';
+         std::all_of(aText.begin(), aText.end(), [](unsigned char aChar) {
+           return std::isalnum(aChar) != 0 || aChar == '-' || aChar == '_' ||
+                  aChar == '/' || aChar == '.';
          });
 }
 
@@ -476,7 +476,9 @@
     for (std::uint32_t i = from; i <= to; ++i) {
       std::string number = std::to_string(i);
       number.insert(0, first.size() - number.size(), '0');
-      aNames.push_back(aApplication + "/" + number);
+      std::string full = aApplication;
+      full.append("/").append(number);
+      aNames.push_back(std::move(full));
     }
     return true;
   }
@@ -792,10 +794,11 @@
     pos = end + 1;
   }
   crossCheck();
-  std::stable_sort(
-    m_faults.begin(),
-    m_faults.end(),
-    [](const RuleFault& a, const RuleFault& b) { return a.line < b.line; });
+  std::stable_sort(m_faults.begin(),
+                   m_faults.end(),
+                   [](const RuleFault& a_, const RuleFault& aRight) {
+                     return a_.line < aRight.line;
+                   });
   if (!m_faults.empty()) {
     return { nullptr, m_faults };
   }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -39,18 +39,18 @@
   if (values.count("help") != 0) {
     return values;
   }
-  const auto toOption = [&](const std::string& variable) -> std::string {
-    if (variable.compare(0, std::strlen(kPrefix), kPrefix) != 0) {
+  const auto toOption = [&](const std::string& aVariable) -> std::string {
+    if (aVariable.compare(0, std::strlen(kPrefix), kPrefix) != 0) {
       return {};
     }
-    std::string name = variable.substr(std::strlen(kPrefix));
-    std::transform(name.begin(), name.end(), name.begin(), [](char c) {
-      return c == '_'
-               ? '-'
-               : static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    std::string name = aVariable.substr(std::strlen(kPrefix));
+    std::transform(name.begin(), name.end(), name.begin(), [](char aChar) {
+      return aChar == '_' ? '-'
+                          : static_cast<char>(
+                              std::tolower(static_cast<unsigned char>(aChar)));
     });
     if (aOptions.find_nothrow(name, false) == nullptr) {
-      throw BadSetting("unknown environment variable '" + variable + "'");
+      throw BadSetting("unknown environment variable '" + aVariable + "'");
     }
     return name;
   };
@@ -197,23 +197,23 @@
   return run<NodeSettings>(
     options,
     aArguments,
-    [](const po::variables_map& values, NodeSettings& settings) {
-      settings.host = checkText(values["host"].as<std::string>(), "host");
-      settings.dataCentre =
-        checkText(values["data-centre"].as<std::string>(), "data-centre");
-      settings.address =
-        checkAddress(values["address"].as<std::string>(), "address");
-      settings.httpPort =
-        checkPort(values["http-port"].as<std::int64_t>(), "http-port");
-      settings.peerPort =
-        checkPort(values["peer-port"].as<std::int64_t>(), "peer-port");
-      settings.platform = checkUrl(values["platform"].as<std::string>());
-      settings.trafficThreads = checkThreads(
-        values["traffic-threads"].as<std::int64_t>(), "traffic-threads");
-      settings.httpThreads =
-        checkThreads(values["http-threads"].as<std::int64_t>(), "http-threads");
-      settings.logFile = values["log-file"].as<std::string>();
-      settings.logLevel = checkLevel(values["log-level"].as<std::string>());
+    [](const po::variables_map& aValues, NodeSettings& aSettings) {
+      aSettings.host = checkText(aValues["host"].as<std::string>(), "host");
+      aSettings.dataCentre =
+        checkText(aValues["data-centre"].as<std::string>(), "data-centre");
+      aSettings.address =
+        checkAddress(aValues["address"].as<std::string>(), "address");
+      aSettings.httpPort =
+        checkPort(aValues["http-port"].as<std::int64_t>(), "http-port");
+      aSettings.peerPort =
+        checkPort(aValues["peer-port"].as<std::int64_t>(), "peer-port");
+      aSettings.platform = checkUrl(aValues["platform"].as<std::string>());
+      aSettings.trafficThreads = checkThreads(
+        aValues["traffic-threads"].as<std::int64_t>(), "traffic-threads");
+      aSettings.httpThreads = checkThreads(
+        aValues["http-threads"].as<std::int64_t>(), "http-threads");
+      aSettings.logFile = aValues["log-file"].as<std::string>();
+      aSettings.logLevel = checkLevel(aValues["log-level"].as<std::string>());
     });
 }
 
@@ -237,20 +237,21 @@
   return run<QuerySettings>(
     options,
     aArguments,
-    [](const po::variables_map& values, QuerySettings& settings) {
-      for (const auto& entry : values["entry"].as<std::vector<std::string>>()) {
-        settings.entries.push_back(checkEndpoint(entry, "entry"));
+    [](const po::variables_map& aValues, QuerySettings& aSettings) {
+      for (const auto& entry :
+           aValues["entry"].as<std::vector<std::string>>()) {
+        aSettings.entries.push_back(checkEndpoint(entry, "entry"));
       }
-      settings.dataCentre = values["data-centre"].as<std::string>();
-      settings.queryClass =
-        checkText(values["class"].as<std::string>(), "class");
-      settings.body = values["body"].as<std::string>();
-      const auto deadline = values["deadline-ms"].as<std::int64_t>();
+      aSettings.dataCentre = aValues["data-centre"].as<std::string>();
+      aSettings.queryClass =
+        checkText(aValues["class"].as<std::string>(), "class");
+      aSettings.body = aValues["body"].as<std::string>();
+      const auto deadline = aValues["deadline-ms"].as<std::int64_t>();
       if (deadline < 0 || deadline > 60000) {
         throw BadSetting("--deadline-ms: must be from 0 to 60000");
       }
-      settings.deadline = std::chrono::milliseconds(deadline);
-      settings.json = values["json"].as<bool>();
+      aSettings.deadline = std::chrono::milliseconds(deadline);
+      aSettings.json = aValues["json"].as<bool>();
     });
 }
 
@@ -265,10 +266,10 @@
   return run<StatusSettings>(
     options,
     aArguments,
-    [](const po::variables_map& values, StatusSettings& settings) {
-      settings.entry =
-        checkEndpoint(values["entry"].as<std::string>(), "entry");
-      settings.json = values["json"].as<bool>();
+    [](const po::variables_map& aValues, StatusSettings& aSettings) {
+      aSettings.entry =
+        checkEndpoint(aValues["entry"].as<std::string>(), "entry");
+      aSettings.json = aValues["json"].as<bool>();
     });
 }
 
--- a/src/slot_chooser.cpp
+++ b/src/slot_chooser.cpp
@@ -29,17 +29,17 @@
       continue;
     }
     const auto host = static_cast<std::uint32_t>(place.host);
-    const auto same = [&](const Target& t) {
-      return t.server == place.server && t.host == host;
+    const auto same = [&](const Target& aTarget) {
+      return aTarget.server == place.server && aTarget.host == host;
     };
     if (std::any_of(aTried.begin(), aTried.end(), same) ||
         !m_isAlive(aView.hosts.hosts[host].name)) {
       continue;
     }
-    const auto known =
-      std::find_if(candidates.begin(),
-                   candidates.end(),
-                   [&](const Candidate& c) { return same(c.target); });
+    const auto known = std::find_if(
+      candidates.begin(), candidates.end(), [&](const Candidate& aCandidate) {
+        return same(aCandidate.target);
+      });
     if (known != candidates.end()) {
       ++known->slots;
     } else {
@@ -48,9 +48,10 @@
   }
   // A server that has failed this part already is the last choice.
   const auto failedServer = [&](const Candidate& aCandidate) {
-    return std::any_of(aTried.begin(), aTried.end(), [&](const Target& t) {
-      return t.server == aCandidate.target.server;
-    });
+    return std::any_of(
+      aTried.begin(), aTried.end(), [&](const Target& aTarget) {
+        return aTarget.server == aCandidate.target.server;
+      });
   };
   const std::lock_guard<std::mutex> lock(m_mutex);
   std::shuffle(candidates.begin(), candidates.end(), m_random);
--- a/src/slot_table.cpp
+++ b/src/slot_table.cpp
@@ -86,9 +86,9 @@
     if (!mine || server.name != aGate.server || server.leaving) {
       continue;
     }
-    const auto slot =
-      std::find_if(aGate.slots.begin(), aGate.slots.end(), [&](const Slot& s) {
-        return s.index == place.slot;
+    const auto slot = std::find_if(
+      aGate.slots.begin(), aGate.slots.end(), [&](const Slot& aSlot) {
+        return aSlot.index == place.slot;
       });
     if (slot != aGate.slots.end()) {
       slot->held = true;
@@ -112,9 +112,9 @@
     aEnded.emplace_back(std::move(aVictim), std::move(reply));
   };
   const std::string& queryClass = aWork.task.batch->queryClass;
-  const auto sameClass =
-    std::count_if(aGate.queue.begin(), aGate.queue.end(), [&](const auto& w) {
-      return w.task.batch->queryClass == queryClass;
+  const auto sameClass = std::count_if(
+    aGate.queue.begin(), aGate.queue.end(), [&](const auto& aWaiting) {
+      return aWaiting.task.batch->queryClass == queryClass;
     });
   const double share =
     aGate.view ? aGate.view->rules->shareOf(queryClass).atMost : 1.0;
@@ -126,8 +126,8 @@
     std::upper_bound(aGate.queue.begin(),
                      aGate.queue.end(),
                      aWork,
-                     [](const Waiting& a, const Waiting& b) {
-                       return isBefore(a.task, b.task);
+                     [](const Waiting& a_, const Waiting& aRight) {
+                       return isBefore(a_.task, aRight.task);
                      });
   aGate.queue.insert(position, std::move(aWork));
   if (aGate.queue.size() > kMaxQueued) {
@@ -146,9 +146,10 @@
   {
     const std::lock_guard<std::mutex> lock(target->mutex);
     refresh(*target, service);
-    const bool holds = std::any_of(target->slots.begin(),
-                                   target->slots.end(),
-                                   [](const Slot& slot) { return slot.held; });
+    const bool holds =
+      std::any_of(target->slots.begin(),
+                  target->slots.end(),
+                  [](const Slot& aSlot) { return aSlot.held; });
     if (!holds) {
       SubReply reply = makeReply(aTask, SubStatus::NotRun, Errc::NotHolder);
       ended.emplace_back(Waiting{ std::move(aTask), std::move(aDone) },
@@ -184,9 +185,9 @@
   if (aGate.queue.empty()) {
     return false;
   }
-  const auto inUse = static_cast<std::uint32_t>(
-    std::count_if(aGate.slots.begin(), aGate.slots.end(), [](const Slot& s) {
-      return s.busy;
+  const auto inUse = static_cast<std::uint32_t>(std::count_if(
+    aGate.slots.begin(), aGate.slots.end(), [](const Slot& aSlot) {
+      return aSlot.busy;
     }));
   for (Slot& slot : aGate.slots) {
     const SlotKey key{ aGate.server, slot.index };
@@ -252,9 +253,8 @@
   const std::uint64_t query = aSend.work.task.batch->query;
   const std::uint64_t handle = m_backend.send(
     std::move(aSend.call),
-    [this, aGate, slotIndex, work = std::move(aSend.work)](BackendReply reply) {
-      finish(aGate, slotIndex, work, reply);
-    });
+    [this, aGate, slotIndex, work = std::move(aSend.work)](
+      const BackendReply& aReply) { finish(aGate, slotIndex, work, aReply); });
   const std::lock_guard<std::mutex> lock(aGate->mutex);
   for (Slot& slot : aGate->slots) {
     // The reply may have come already and the slot serve another query.
@@ -302,8 +302,9 @@
   std::vector<std::uint64_t> running;
   for (const GatePtr& target : gates) {
     const std::lock_guard<std::mutex> lock(target->mutex);
-    const auto matches = [&](const Waiting& w) {
-      return w.task.batch->query == aQuery && w.task.origin == aOrigin;
+    const auto matches = [&](const Waiting& aWaiting) {
+      return aWaiting.task.batch->query == aQuery &&
+             aWaiting.task.origin == aOrigin;
     };
     auto& queue = target->queue;
     queue.erase(std::remove_if(queue.begin(), queue.end(), matches),
--- a/src/status_http.cpp
+++ b/src/status_http.cpp
@@ -98,9 +98,9 @@
               const EngineCounters& aCounters)
 {
   std::ostringstream out;
-  const auto counter = [&out](const char* name, std::uint64_t value) {
-    out << "# TYPE toucanridge_" << name << " counter\n"
-        << "toucanridge_" << name << ' ' << value << '\n';
+  const auto counter = [&out](const char* aName, std::uint64_t aValue) {
+    out << "# TYPE toucanridge_" << aName << " counter\n"
+        << "toucanridge_" << aName << ' ' << aValue << '\n';
   };
   counter("queries_total", aCounters.queries);
   counter("answers_whole_total", aCounters.whole);
--- a/src/view.cpp
+++ b/src/view.cpp
@@ -10,9 +10,9 @@
 View::findHost(const std::string& aName) const
 {
   const auto found =
-    std::find_if(hosts.hosts.begin(), hosts.hosts.end(), [&](const Host& h) {
-      return h.name == aName;
-    });
+    std::find_if(hosts.hosts.begin(),
+                 hosts.hosts.end(),
+                 [&](const Host& aEntry) { return aEntry.name == aName; });
   return found == hosts.hosts.end() ? nullptr : &*found;
 }
 
--- a/tools/backend_standin.cpp
+++ b/tools/backend_standin.cpp
@@ -37,7 +37,6 @@
 using asio::ip::tcp;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 using Request = http::request<http::string_body>;
 using Response = http::response<http::string_body>;
 
@@ -173,8 +172,8 @@
   {
     // A new connection costs the server time before it takes requests.
     m_timer.expires_after(m_server->connectCost);
-    m_timer.async_wait([self = shared_from_this()](beast::error_code error) {
-      if (!error) {
+    m_timer.async_wait([self = shared_from_this()](beast::error_code aError) {
+      if (!aError) {
         self->read();
       }
     });
@@ -197,8 +196,8 @@
       m_stream,
       m_buffer,
       m_request,
-      [self = shared_from_this()](beast::error_code error, std::size_t) {
-        if (error) {
+      [self = shared_from_this()](beast::error_code aError, std::size_t) {
+        if (aError) {
           self->end();
         } else if (!self->silent) {
           self->handle();
@@ -235,11 +234,11 @@
 {
   m_acceptor.async_accept(
     strand,
-    [self = shared_from_this()](beast::error_code error, tcp::socket socket) {
-      if (error == asio::error::operation_aborted) {
+    [self = shared_from_this()](beast::error_code aError, tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted) {
         return;
       }
-      if (!error && !self->down) {
+      if (!aError && !self->down) {
         Stats& seen = self->stats;
         ++seen.connections;
         ++seen.open;
@@ -247,7 +246,7 @@
         if (seen.open > self->connectionLimit) {
           ++seen.connectionViolations;
         }
-        auto session = std::make_shared<Session>(std::move(socket), self);
+        auto session = std::make_shared<Session>(std::move(aSocket), self);
         self->sessions.insert(session);
         session->start();
       }
@@ -274,8 +273,8 @@
   m_acceptor.close(ignored);
   m_restartTimer.expires_after(options.restartAfter);
   m_restartTimer.async_wait(
-    [self = shared_from_this()](beast::error_code error) {
-      if (!error) {
+    [self = shared_from_this()](beast::error_code aError) {
+      if (!aError) {
         self->down = false;
         self->start();
       }
@@ -426,8 +425,8 @@
   const std::uint64_t incarnation = server.incarnation;
   m_timer.expires_after(server.serviceTime());
   m_timer.async_wait(
-    [self = shared_from_this(), incarnation](beast::error_code error) {
-      if (!error) {
+    [self = shared_from_this(), incarnation](beast::error_code aError) {
+      if (!aError) {
         self->finishRun(incarnation);
       }
     });
@@ -441,7 +440,7 @@
   m_stream.socket().async_wait(
     tcp::socket::wait_read,
     [self = shared_from_this(),
-     incarnation = m_server->incarnation](beast::error_code error) {
+     incarnation = m_server->incarnation](beast::error_code aError) {
       if (!self->m_running || incarnation != self->m_server->incarnation) {
         return;
       }
@@ -449,7 +448,7 @@
       char byte = 0;
       const auto size = self->m_stream.socket().receive(
         asio::buffer(&byte, 1), tcp::socket::message_peek, readError);
-      if (error || readError || size == 0) {
+      if (aError || readError || size == 0) {
         self->m_running = false;
         --self->m_server->stats.running;
         ++self->m_server->stats.cancelled;
@@ -504,8 +503,8 @@
   http::async_write(
     m_stream,
     *m_response,
-    [self = shared_from_this()](beast::error_code error, std::size_t) {
-      if (error || !self->m_response->keep_alive()) {
+    [self = shared_from_this()](beast::error_code aError, std::size_t) {
+      if (aError || !self->m_response->keep_alive()) {
         self->end();
         return;
       }
@@ -529,13 +528,13 @@
 
   void acceptNext()
   {
-    m_acceptor.async_accept(
-      [self = shared_from_this()](beast::error_code error, tcp::socket socket) {
-        if (!error) {
-          self->serve(std::make_shared<beast::tcp_stream>(std::move(socket)));
-        }
-        self->acceptNext();
-      });
+    m_acceptor.async_accept([self = shared_from_this()](
+                              beast::error_code aError, tcp::socket aSocket) {
+      if (!aError) {
+        self->serve(std::make_shared<beast::tcp_stream>(std::move(aSocket)));
+      }
+      self->acceptNext();
+    });
   }
 
 private:
@@ -548,8 +547,8 @@
       *buffer,
       *request,
       [self = shared_from_this(), aStream, buffer, request](
-        beast::error_code error, std::size_t) {
-        if (error) {
+        beast::error_code aError, std::size_t) {
+        if (aError) {
           return;
         }
         auto response =
--- a/tools/platform_standin.cpp
+++ b/tools/platform_standin.cpp
@@ -142,8 +142,8 @@
       m_stream,
       m_buffer,
       m_request,
-      [self = shared_from_this()](beast::error_code error, std::size_t) {
-        if (!error) {
+      [self = shared_from_this()](beast::error_code aError, std::size_t) {
+        if (!aError) {
           self->handle();
         }
       });
@@ -189,8 +189,8 @@
     }
     m_timer.expires_after(milliseconds(50));
     m_timer.async_wait(
-      [self = shared_from_this(), aAfter, aUntil](beast::error_code error) {
-        if (!error) {
+      [self = shared_from_this(), aAfter, aUntil](beast::error_code aError) {
+        if (!aError) {
           self->watch(aAfter, aUntil);
         }
       });
@@ -207,8 +207,8 @@
     http::async_write(
       m_stream,
       m_response,
-      [self = shared_from_this()](beast::error_code error, std::size_t) {
-        if (!error && self->m_response.keep_alive()) {
+      [self = shared_from_this()](beast::error_code aError, std::size_t) {
+        if (!aError && self->m_response.keep_alive()) {
           self->read();
         }
       });
@@ -225,9 +225,9 @@
 void
 acceptNext(tcp::acceptor& aAcceptor, Platform& aPlatform)
 {
-  aAcceptor.async_accept([&](beast::error_code error, tcp::socket socket) {
-    if (!error) {
-      std::make_shared<Session>(std::move(socket), aPlatform)->read();
+  aAcceptor.async_accept([&](beast::error_code aError, tcp::socket aSocket) {
+    if (!aError) {
+      std::make_shared<Session>(std::move(aSocket), aPlatform)->read();
     }
     acceptNext(aAcceptor, aPlatform);
   });
@@ -238,8 +238,8 @@
 {
   aPlatform.refresh();
   aTimer.expires_after(milliseconds(50));
-  aTimer.async_wait([&](beast::error_code error) {
-    if (!error) {
+  aTimer.async_wait([&](beast::error_code aError) {
+    if (!aError) {
       refreshLater(aTimer, aPlatform);
     }
   });
