--- a/src/rules_parse.cpp
+++ b/src/rules_parse.cpp
@@ -491,8 +491,11 @@
             "invalid service name '" + part + "'");
       return false;
     }
-    aNames.push_back(
-      part.find('/') == std::string::npos ? aApplication + "/" + part : part);
+    std::string full;
+    if (part.find('/') == std::string::npos) {
+      full.append(aApplication).append("/");
+    }
+    aNames.push_back(full.append(part));
     pos = comma + 1;
   }
   return true;
--- a/src/wire_p.h
+++ b/src/wire_p.h
@@ -75,6 +75,13 @@
   SubBatch = 4,
   SubReply = 5,
   Cancel = 6,
+  ConfigFetch = 7,
+  ConfigDelta = 8,
+  ConfigWhole = 9,
+  TicketForward = 10,
+  TicketReply = 11,
+  WarmthGrant = 12,
+  WarmthReport = 13,
 };
 
 /// First frame on a link, from the side that connected.
