--- a/src/frame_stream.cpp
+++ b/src/frame_stream.cpp
@@ -48,7 +48,8 @@
 }
 
 void
-FrameStream::connect(const Endpoint& aEndpoint,
+FrameStream::connect(const asio::ip::address& aLocal,
+                     const Endpoint& aEndpoint,
                      milliseconds aTimeout,
                      OnFrame aOnFrame,
                      OnClose aOnClose)
@@ -56,23 +57,34 @@
   m_onFrame = std::move(aOnFrame);
   m_onClose = std::move(aOnClose);
   auto self = shared_from_this();
-  asio::post(m_socket.get_executor(), [this, self, aEndpoint, aTimeout] {
-    m_timer.expires_after(aTimeout);
-    m_timer.async_wait([this, self](const boost::system::error_code& aError) {
-      if (!aError && !m_open) {
-        end("connect-timeout");
+  asio::post(
+    m_socket.get_executor(), [this, self, aLocal, aEndpoint, aTimeout] {
+      // Peers and firewalls know a host by the address in its settings.
+      boost::system::error_code bindError;
+      m_socket.open(aEndpoint.protocol(), bindError);
+      if (!bindError) {
+        m_socket.bind({ aLocal, 0 }, bindError);
       }
-    });
-    m_socket.async_connect(
-      aEndpoint, [this, self](const boost::system::error_code& aError) {
-        if (aError) {
-          end("connect-failed");
-        } else if (!m_ended) {
-          m_timer.cancel();
-          open();
+      if (bindError) {
+        end("bind-failed");
+        return;
+      }
+      m_timer.expires_after(aTimeout);
+      m_timer.async_wait([this, self](const boost::system::error_code& aError) {
+        if (!aError && !m_open) {
+          end("connect-timeout");
         }
       });
-  });
+      m_socket.async_connect(
+        aEndpoint, [this, self](const boost::system::error_code& aError) {
+          if (aError) {
+            end("connect-failed");
+          } else if (!m_ended) {
+            m_timer.cancel();
+            open();
+          }
+        });
+    });
 }
 
 void
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -26,7 +26,8 @@
 {
   m_handlers = std::move(aHandlers);
   boost::system::error_code error;
-  const tcp::endpoint endpoint(asio::ip::make_address(aAddress, error), aPort);
+  m_address = asio::ip::make_address(aAddress, error);
+  const tcp::endpoint endpoint(m_address, aPort);
   if (!error) {
     m_acceptor.open(endpoint.protocol(), error);
   }
@@ -136,6 +137,7 @@
   boost::system::error_code error;
   const tcp::endpoint endpoint(asio::ip::make_address(aAddress, error), aPort);
   stream->connect(
+    m_address,
     endpoint,
     kConnectTimeout,
     [this, aHost](MessageType aType, const std::string& aPayload) {
--- a/src/peer_link_p.h
+++ b/src/peer_link_p.h
@@ -39,7 +39,9 @@
   explicit FrameStream(Socket aSocket);
 
   /// Connects, then reads frames until the stream ends.
-  void connect(const Endpoint& aEndpoint,
+  /// @param[in] aLocal address to connect from
+  void connect(const boost::asio::ip::address& aLocal,
+               const Endpoint& aEndpoint,
                std::chrono::milliseconds aTimeout,
                OnFrame aOnFrame,
                OnClose aOnClose);
@@ -140,6 +142,7 @@
 
   boost::asio::io_context& m_context;
   Hello m_self;
+  boost::asio::ip::address m_address;
   Handlers m_handlers;
   boost::asio::ip::tcp::acceptor m_acceptor;
   mutable std::mutex m_mutex; ///< guards the two containers
