--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,9 @@
 demo: build
 	@scripts/demo.sh $(BUILD)
 
+scenarios: build
+	@python3 scripts/scenarios.py $(BUILD)
+
 bench: build
 	@scripts/bench.sh $(BUILD)
 
