--- a/scripts/scenario.py
+++ b/scripts/scenario.py
@@ -448,7 +448,7 @@
         lines = self.fleet.rules.splitlines()
         head = words[:2]
         new = " ".join(words) + " # asked by Somchai W. : scenario"
-        matches = [i for i, l in enumerate(lines) if tuple(l.split()[:2]) == head]
+        matches = [i for i, l in enumerate(lines) if l.split()[:2] == head]
         if matches:
             lines[matches[0]] = new
         else:
@@ -571,6 +571,10 @@
         """Distinct configuration revisions in the last sample."""
         return len({r for r in self.samples[-1][2].values()})
 
+    def measure_revision(self):
+        """The lowest revision in force at the end; the first file is 1."""
+        return min(self.samples[-1][2].values(), default=0)
+
     def measure_reverted(self):
         """Times that a node's revision fell between two samples."""
         falls, seen = 0, {}
