Spread membership and configuration by gossip

Every node polled the platform twice a second, so reads grew with the fleet, a stale platform could bring an old revision back after a restart, and a dead host was named to callers until the list dropped it.

Membership probes one random member a second and one neighbour three times a lease, asks relays before it suspects, and lets a suspect refute. Two reader hosts per data centre read the platform; the others learn revisions from probes and fetch line deltas over peer links. A starting node takes no work until it has compared revisions with its peers. SIGTERM announces leaving first and waits until that has spread.

--- /dev/null
+++ b/src/broadcaster.cpp
@@ -0,0 +1,118 @@
+#include "broadcaster_p.h"
+
+#include <algorithm>
+
+#include "log_p.h"
+
+namespace toucanridge {
+namespace {
+
+/// Items that wait for their transmissions; a strike storm drops the oldest.
+constexpr std::size_t kMaxItems = 256;
+/// Items remembered so that a copy is not delivered again. A copy travels for
+/// seconds, and far fewer items than this are published in that time.
+constexpr std::size_t kMaxSeen = 4096;
+
+} // namespace
+
+Broadcaster::Broadcaster(std::string aSelf, std::uint64_t aIncarnation)
+  : m_self(std::move(aSelf))
+  , m_incarnation(aIncarnation)
+{
+}
+
+void
+Broadcaster::publish(BroadcastKind aKind, std::string aItem)
+{
+  if (aItem.size() > kMaxBroadcastBytes) {
+    logWrite(LogLevel::Error,
+             LogLine("broadcast-refused").add("bytes", aItem.size()));
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  BroadcastItem item;
+  item.origin = m_self;
+  item.incarnation = m_incarnation;
+  item.number = ++m_lastNumber;
+  item.kind = static_cast<std::uint8_t>(aKind);
+  item.payload = std::move(aItem);
+  add(std::move(item));
+}
+
+void
+Broadcaster::subscribe(BroadcastKind aKind, OnItem aOnItem)
+{
+  m_receivers[static_cast<std::uint8_t>(aKind)] = std::move(aOnItem);
+}
+
+void
+Broadcaster::add(BroadcastItem aItem)
+{
+  m_queue.push_back({ std::move(aItem), 0 });
+  if (m_queue.size() > kMaxItems) {
+    m_queue.pop_front();
+    ++m_dropped;
+  }
+}
+
+void
+Broadcaster::take(std::size_t aBytes,
+                  std::uint32_t aTransmits,
+                  std::vector<BroadcastItem>& aItems)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  std::stable_sort(m_queue.begin(),
+                   m_queue.end(),
+                   [](const Queued& aOne, const Queued& aOther) {
+                     return aOne.sent < aOther.sent;
+                   });
+  for (Queued& queued : m_queue) {
+    const std::size_t size = wireSize(queued.item);
+    if (size > aBytes) {
+      continue;
+    }
+    aBytes -= size;
+    aItems.push_back(queued.item);
+    ++queued.sent;
+  }
+  m_queue.erase(std::remove_if(m_queue.begin(),
+                               m_queue.end(),
+                               [aTransmits](const Queued& aQueued) {
+                                 return aQueued.sent >= aTransmits;
+                               }),
+                m_queue.end());
+}
+
+void
+Broadcaster::onReceived(const BroadcastItem& aItem)
+{
+  if (aItem.origin == m_self || aItem.payload.size() > kMaxBroadcastBytes) {
+    return;
+  }
+  const auto receiver = m_receivers.find(aItem.kind);
+  if (receiver == m_receivers.end()) {
+    return;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const Key key{ aItem.origin, aItem.incarnation, aItem.number };
+    if (!m_seen.insert(key).second) {
+      return;
+    }
+    m_seenOrder.push_back(key);
+    if (m_seenOrder.size() > kMaxSeen) {
+      m_seen.erase(m_seenOrder.front());
+      m_seenOrder.pop_front();
+    }
+    add(aItem);
+  }
+  receiver->second(aItem.origin, aItem.payload);
+}
+
+std::size_t
+Broadcaster::wireSize(const BroadcastItem& aItem)
+{
+  return aItem.origin.size() + aItem.payload.size() + 2 + 8 + 4 + 1 + 2;
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/control_plane_p.h
@@ -0,0 +1,135 @@
+#ifndef TOUCANRIDGE_CONTROL_PLANE_P_H
+#define TOUCANRIDGE_CONTROL_PLANE_P_H
+
+/// Runs the control objects of a node on the control thread and connects them
+/// to sockets and to the platform.
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include <boost/asio.hpp>
+
+#include "caller_api_p.h"
+#include "control_core_p.h"
+#include "gossip_socket_p.h"
+#include "peer_link_p.h"
+#include "settings_p.h"
+#include "view_p.h"
+
+namespace toucanridge {
+
+/// A copy of control state for status and metrics, at most a second old.
+struct ControlStatus
+{
+  MembershipCounters membership;
+  ConfigSyncCounters config;
+  ReaderRole role = ReaderRole::Starting;
+  bool ready = false;
+  ViewId held;
+  std::uint64_t refusedRules = 0;
+  std::uint64_t refusedHosts = 0;
+  std::uint64_t unsentDatagrams = 0;
+  std::map<std::string, MemberState> members;
+};
+
+class ControlPlane final
+  : public ConfigSenderI
+  , public PeerEvidenceI
+{
+public:
+  /// @param[in] aContext the control thread's
+  /// @param[in] aPlatform may call back on any thread
+  /// @param[in] aLinks carries configuration between nodes
+  /// @param[in] aViews takes each view that new work may use
+  ControlPlane(boost::asio::io_context& aContext,
+               const ClockI& aClock,
+               const NodeSettings& aSettings,
+               std::uint64_t aIncarnation,
+               PlatformI& aPlatform,
+               PeerLinks& aLinks,
+               ViewHolder& aViews,
+               std::function<std::uint32_t()> aLoad);
+  ~ControlPlane() override;
+
+  /// Takes acknowledged probes, on the control thread. Call it before init().
+  void setEvidence(PeerEvidenceI* aEvidence) { m_evidence = aEvidence; }
+  /// Tells which view is settled, on the control thread; see PeerState. Call
+  /// it before init().
+  void setSettled(std::function<ViewId()> aSettled) { m_settled = aSettled; }
+  /// Called on the control thread with each view that new work may use, after
+  /// it was published. Call it before init().
+  void setOnView(std::function<void(const ViewPtr&)> aOnView)
+  {
+    m_onView = std::move(aOnView);
+  }
+  BroadcastI& broadcast() { return m_core.broadcaster(); }
+
+  /// Binds the UDP socket and starts.
+  /// @returns an error when the address can't be bound
+  std::error_code init();
+  /// Announces that this host leaves; any thread.
+  void leave();
+  /// @returns time in which the announcement reaches nearly all nodes
+  std::chrono::milliseconds leaveTime() const { return m_leaveTime; }
+  /// Ends platform reads and the timer; call it after the control thread has
+  /// ended.
+  void shutdown();
+
+  // Any thread.
+  bool isAlive(const std::string& aHost) const;
+  /// Traffic failed to reach a host.
+  void onLinkLost(const std::string& aHost);
+  /// Addresses for callers: hosts in service and believed alive, those of the
+  /// caller's data centre first, less loaded ones first more often.
+  AddressAnswer addresses(const std::string& aDataCentre) const;
+  std::shared_ptr<const ControlStatus> status() const;
+  /// Answers a ConfigFetch.
+  void onConfigRequest(const std::string& aPayload,
+                       const PeerLinks::Reply& aReply);
+  void onConfigReply(const std::string& aHost,
+                     MessageType aType,
+                     const std::string& aPayload);
+
+private:
+  class PlatformOnControl;
+
+  void sendFetch(const std::string& aHost,
+                 const PeerAddress& aAddress,
+                 const ConfigFetch& aFetch) override;
+  void onProbeAcked(const PeerState& aPeer, TimePoint aSentAt) override;
+  void tickLater();
+  void publishMembers();
+  void publishStatus();
+
+  boost::asio::io_context& m_context;
+  const ClockI& m_clock;
+  const NodeSettings m_settings;
+  const std::uint64_t m_incarnation;
+  PeerLinks& m_links;
+  ViewHolder& m_views;
+  ViewHolder m_known; ///< newest view, also before the node is ready
+  PeerEvidenceI* m_evidence = nullptr;
+  std::function<ViewId()> m_settled;
+  std::function<void(const ViewPtr&)> m_onView;
+  std::unique_ptr<PlatformOnControl> m_platform;
+  GossipSocket m_socket;
+  ControlCore m_core;
+  boost::asio::steady_timer m_timer;
+  TimePoint m_nextStatus;
+  std::atomic<bool> m_leaving{ false };
+  std::atomic<std::chrono::milliseconds> m_leaveTime{
+    std::chrono::milliseconds(0)
+  };
+  std::shared_ptr<const MemberSnapshot> m_members;
+  std::shared_ptr<const ControlStatus> m_status;
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_CONTROL_PLANE_P_H
--- a/src/frame_stream.cpp
+++ b/src/frame_stream.cpp
@@ -97,11 +97,13 @@
 void
 FrameStream::send(MessageType aType, std::string aPayload, std::uint64_t aTag)
 {
+  ++m_pending;
   auto self = shared_from_this();
   asio::post(
     m_socket.get_executor(),
     [this, self, aType, payload = std::move(aPayload), aTag]() mutable {
       if (m_ended) {
+        --m_pending;
         if (aTag != 0) {
           m_onClose("closed", { aTag });
         }
@@ -200,6 +202,7 @@
     buffers,
     [this, self, frame](const boost::system::error_code& aError, std::size_t) {
       m_writing = false;
+      --m_pending;
       if (aError) {
         end("write-failed");
         return;
@@ -253,6 +256,7 @@
       unsent.push_back(frame.tag);
     }
   }
+  m_pending -= static_cast<std::uint32_t>(m_queue.size());
   m_queue.clear();
   m_onClose(aReason, std::move(unsent));
 }
--- /dev/null
+++ b/src/gossip_wire_p.h
@@ -0,0 +1,210 @@
+#ifndef TOUCANRIDGE_GOSSIP_WIRE_P_H
+#define TOUCANRIDGE_GOSSIP_WIRE_P_H
+
+/// Datagrams between nodes and the messages of configuration transfer.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "view_p.h"
+#include "wire_p.h"
+
+namespace toucanridge {
+
+/// Where a peer's control traffic goes.
+struct PeerAddress
+{
+  std::string address; ///< IPv4
+  std::uint16_t port = 0;
+};
+
+/// Like wireText, but bounded by the size of a datagram.
+template<class Archive>
+void
+wireShortText(Archive& aArchive, std::string& aText)
+{
+  auto size = static_cast<std::uint16_t>(aText.size());
+  aArchive(size);
+  if constexpr (Archive::is_loading::value) {
+    if (size > kMaxDatagramBytes) {
+      throw DecodeError("text over the datagram limit");
+    }
+    aText.resize(size);
+  }
+  aArchive(cereal::binary_data(aText.data(), size));
+}
+
+/// What is known of a member. Of two states with the same incarnation and
+/// refutation, the one with the higher value wins.
+enum class MemberState : std::uint8_t
+{
+  Alive = 0,
+  Suspect = 1,
+  Dead = 2,
+  Leaving = 3, ///< announced by the member itself
+};
+
+/// A member's state as it spreads.
+struct MemberUpdate
+{
+  std::string host;
+  std::uint64_t incarnation = 0; ///< start of the process
+  std::uint32_t refutation = 0;  ///< raised by the member to deny a suspicion
+  MemberState state = MemberState::Alive;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    wireShortText(aArchive, host);
+    aArchive(incarnation, refutation, state);
+  }
+};
+
+/// One item of BroadcastI.
+struct BroadcastItem
+{
+  std::string origin;
+  std::uint64_t incarnation = 0;
+  std::uint32_t number = 0; ///< unique for an origin and incarnation
+  std::uint8_t kind = 0;
+  std::string payload;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    wireShortText(aArchive, origin);
+    aArchive(incarnation, number, kind);
+    wireShortText(aArchive, payload);
+  }
+};
+
+/// Revisions that a node holds and vouches for; zero while it is starting.
+struct ConfigDigest
+{
+  std::uint64_t rules = 0;
+  std::uint64_t rulesHash = 0;
+  std::uint64_t hosts = 0;
+  std::uint64_t hostsHash = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(rules, rulesHash, hosts, hostsHash);
+  }
+};
+
+enum class GossipKind : std::uint8_t
+{
+  Ping = 1,
+  Ack = 2,
+  PingRequest = 3, ///< asks the receiver to probe `target`
+  RelayedAck = 4,  ///< reports that `target` answered; tells its state
+};
+
+/// One datagram. The state fields describe the sender, in a RelayedAck the
+/// target.
+struct Gossip
+{
+  GossipKind kind = GossipKind::Ping;
+  std::uint32_t sequence = 0;
+  std::string from;
+  std::string to; ///< empty when the sender does not know the name
+  std::string target;
+  std::uint64_t incarnation = 0;
+  std::uint32_t refutation = 0;
+  std::uint8_t leaving = 0;
+  std::uint32_t load = 0; ///< queries that run at the node
+  ViewId view;
+  ViewId settled;
+  ConfigDigest digest;
+  std::vector<MemberUpdate> updates;
+  std::vector<BroadcastItem> items;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(kind, sequence);
+    wireShortText(aArchive, from);
+    wireShortText(aArchive, to);
+    wireShortText(aArchive, target);
+    aArchive(incarnation, refutation, leaving, load);
+    aArchive(view.rules, view.hosts, settled.rules, settled.hosts, digest);
+    wireList(aArchive, updates);
+    wireList(aArchive, items);
+  }
+};
+
+/// The two published values that spread from peer to peer.
+enum class DocumentKind : std::uint8_t
+{
+  Rules = 0,
+  Hosts = 1,
+};
+constexpr std::size_t kDocumentKinds = 2;
+
+/// Asks for the newest revision of a document.
+struct ConfigFetch
+{
+  DocumentKind kind = DocumentKind::Rules;
+  std::uint64_t have = 0; ///< revision that a delta may start from, 0 for none
+  std::uint64_t haveHash = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(kind, have, haveHash);
+  }
+};
+
+/// Either lines of the old text (`count` > 0) or new text.
+struct LineOp
+{
+  std::uint32_t from = 0; ///< first line copied
+  std::uint32_t count = 0;
+  std::string text;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(from, count);
+    wireText(aArchive, text);
+  }
+};
+
+/// Turns one revision into another.
+struct ConfigDelta
+{
+  DocumentKind kind = DocumentKind::Rules;
+  std::uint64_t from = 0;
+  std::uint64_t to = 0;
+  std::uint64_t hash = 0; ///< of the new text
+  std::vector<LineOp> ops;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(kind, from, to, hash);
+    wireList(aArchive, ops);
+  }
+};
+
+/// A whole document; the text is empty when nothing newer is held.
+struct ConfigWhole
+{
+  DocumentKind kind = DocumentKind::Rules;
+  std::uint64_t revision = 0;
+  std::uint64_t hash = 0;
+  std::string text;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(kind, revision, hash);
+    wireText(aArchive, text);
+  }
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_GOSSIP_WIRE_P_H
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -1,8 +1,8 @@
 #include "node_p.h"
 
+#include <algorithm>
 #include <atomic>
 #include <random>
-#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -10,6 +10,7 @@
 
 #include "backend_http_p.h"
 #include "caller_http_p.h"
+#include "control_plane_p.h"
 #include "log_p.h"
 #include "peer_link_p.h"
 #include "platform_http_p.h"
@@ -24,9 +25,7 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kPlatformPoll{ 500 };
 constexpr milliseconds kSweepEvery{ 20 };
-constexpr milliseconds kAddressValidity{ 2000 };
 /// Longest time that a shutdown waits for running queries; longer than any
 /// deadline of a class would need.
 constexpr std::chrono::seconds kDrainLimit{ 60 };
@@ -85,9 +84,7 @@
   void submitBatch(const std::string& aOrigin,
                    SubBatch aBatch,
                    const std::function<void(SubReply)>& aDone);
-  void pollPlatform();
-  void applyRules(const PublishedRules& aPublished);
-  void rebuildView();
+  bool isIdle() const;
   void sweepLater();
 
   NodeSettings settings;
@@ -99,7 +96,6 @@
   asio::io_context traffic;
   asio::executor_work_guard<asio::io_context::executor_type> controlWork;
   asio::executor_work_guard<asio::io_context::executor_type> trafficWork;
-  asio::steady_timer pollTimer;
   asio::steady_timer sweepTimer;
   std::vector<std::thread> threads;
 
@@ -111,13 +107,8 @@
   QueryEngine engine;
   PeerLinks links;
   PlatformHttp platform;
+  ControlPlane plane;
   CallerHttp callers;
-
-  // Owned by the control thread.
-  std::uint64_t rulesRevision = 0;
-  std::shared_ptr<const RuleSet> rules;
-  HostList hosts;
-  std::uint64_t refusedRevision = 0;
   std::atomic<bool> stopping{ false };
 };
 
@@ -125,14 +116,22 @@
   : settings(std::move(aSettings))
   , controlWork(asio::make_work_guard(control))
   , trafficWork(asio::make_work_guard(traffic))
-  , pollTimer(control)
   , sweepTimer(traffic)
   , backend(traffic)
   , slots(clock, views, rights, warmth, backend, settings.host)
-  , chooser(incarnation, [](const std::string&) { return true; })
+  , chooser(incarnation,
+            [this](const std::string& aHost) { return plane.isAlive(aHost); })
   , engine(traffic, clock, views, *this, chooser, settings.host, incarnation)
   , links(traffic, { settings.host, incarnation })
   , platform(settings.platform)
+  , plane(control,
+          clock,
+          settings,
+          incarnation,
+          platform,
+          links,
+          views,
+          [this] { return static_cast<std::uint32_t>(engine.running()); })
   , callers(*this)
 {
 }
@@ -155,17 +154,21 @@
   handlers.onLost = [this](const std::string& aHost,
                            const std::vector<std::uint64_t>& aUnsent) {
     engine.onLinkLost(aHost, aUnsent);
+    plane.onLinkLost(aHost);
   };
   std::error_code error =
     links.init(settings.address, settings.peerPort, std::move(handlers));
   if (error) {
     return error;
   }
+  error = plane.init();
+  if (error) {
+    return error;
+  }
   threads.emplace_back([this] { control.run(); });
   for (std::uint32_t i = 0; i < settings.trafficThreads; ++i) {
     threads.emplace_back([this] { traffic.run(); });
   }
-  asio::post(control, [this] { pollPlatform(); });
   asio::post(traffic, [this] { sweepLater(); });
   error = callers.init(settings.address, settings.httpPort);
   if (error) {
@@ -180,20 +183,35 @@
   return {};
 }
 
+/// @returns true when no query runs and no sub-request waits or runs
+bool
+Node::Impl::isIdle() const
+{
+  if (engine.running() > 0 || slots.inFlight() > 0 || links.pending() > 0) {
+    return false;
+  }
+  const auto gates = slots.status();
+  return std::all_of(gates.begin(), gates.end(), [](const GateStatus& aGate) {
+    return aGate.queued == 0;
+  });
+}
+
 void
 Node::Impl::shutdown()
 {
   logWrite(LogLevel::Info, LogLine("draining").add("host", settings.host));
+  // Peers first stop naming this host to callers and choosing it; until the
+  // announcement has spread, their sub-requests are still served.
+  plane.leave();
   engine.drain();
+  const TimePoint spread = clock.now() + plane.leaveTime();
   const TimePoint limit = clock.now() + kDrainLimit;
-  while ((engine.running() > 0 || slots.inFlight() > 0) &&
-         clock.now() < limit) {
+  while ((clock.now() < spread || !isIdle()) && clock.now() < limit) {
     std::this_thread::sleep_for(milliseconds(10));
   }
   stopping = true;
   callers.shutdown();
   links.shutdown();
-  asio::post(control, [this] { pollTimer.cancel(); });
   asio::post(traffic, [this] { sweepTimer.cancel(); });
   controlWork.reset();
   trafficWork.reset();
@@ -202,34 +220,14 @@
   for (std::thread& thread : threads) {
     thread.join();
   }
+  plane.shutdown();
   logWrite(LogLevel::Info, LogLine("stopped").add("host", settings.host));
 }
 
 AddressAnswer
 Node::Impl::addresses(const std::string& aDataCentre)
 {
-  AddressAnswer answer;
-  answer.validFor = kAddressValidity;
-  const ViewPtr view = views.get();
-  if (!view) {
-    return answer;
-  }
-  answer.revision = view->id.rules;
-  std::vector<CallerAddress> far;
-  for (const Host& host : view->hosts.hosts) {
-    if (!view->inService(host)) {
-      continue;
-    }
-    auto& list = host.dataCentre == aDataCentre ? answer.addresses : far;
-    list.push_back({ host.name, host.dataCentre, host.address, host.httpPort });
-  }
-  std::mt19937_64 random(
-    incarnation ^
-    static_cast<std::uint64_t>(clock.now().time_since_epoch().count()));
-  std::shuffle(answer.addresses.begin(), answer.addresses.end(), random);
-  std::shuffle(far.begin(), far.end(), random);
-  answer.addresses.insert(answer.addresses.end(), far.begin(), far.end());
-  return answer;
+  return plane.addresses(aDataCentre);
 }
 
 void
@@ -242,7 +240,7 @@
 Node::Impl::statusJson()
 {
   return renderStatus(
-    { settings.host, settings.dataCentre, incarnation, refusedRevision },
+    { settings.host, settings.dataCentre, incarnation, plane.status() },
     views.get(),
     slots.status(),
     engine.counters());
@@ -251,7 +249,11 @@
 std::string
 Node::Impl::metricsText()
 {
-  return renderMetrics(views.get(), slots.status(), engine.counters());
+  return renderMetrics(
+    { settings.host, settings.dataCentre, incarnation, plane.status() },
+    views.get(),
+    slots.status(),
+    engine.counters());
 }
 
 void
@@ -321,6 +323,9 @@
       slots.cancel(aHost, cancelled->query);
       return;
     }
+  } else if (aType == MessageType::ConfigFetch) {
+    plane.onConfigRequest(aPayload, aReply);
+    return;
   }
   logWrite(LogLevel::Warn,
            LogLine("peer-message-dropped")
@@ -339,6 +344,10 @@
       engine.onReply(aHost, *reply);
       return;
     }
+  } else if (aType == MessageType::ConfigDelta ||
+             aType == MessageType::ConfigWhole) {
+    plane.onConfigReply(aHost, aType, aPayload);
+    return;
   }
   logWrite(LogLevel::Warn,
            LogLine("peer-message-dropped")
@@ -347,76 +356,6 @@
              .add("bytes", aPayload.size()));
 }
 
-void
-Node::Impl::pollPlatform()
-{
-  platform.readRules(
-    rulesRevision,
-    milliseconds(0),
-    [this](tl::expected<PublishedRules, std::error_code> aPublished) {
-      asio::post(control, [this, published = std::move(aPublished)] {
-        if (published) {
-          applyRules(*published);
-        } else {
-          logWrite(LogLevel::Warn,
-                   LogLine("platform-unreachable")
-                     .addText("reason", published.error().message()));
-        }
-      });
-    });
-  platform.readHosts([this](tl::expected<HostList, std::error_code> aList) {
-    asio::post(control, [this, list = std::move(aList)] {
-      if (list && list->revision > hosts.revision) {
-        hosts = *list;
-        rebuildView();
-      }
-    });
-  });
-  pollTimer.expires_after(kPlatformPoll);
-  pollTimer.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError && !stopping) {
-      pollPlatform();
-    }
-  });
-}
-
-void
-Node::Impl::applyRules(const PublishedRules& aPublished)
-{
-  if (aPublished.revision <= rulesRevision ||
-      aPublished.revision <= refusedRevision) {
-    return;
-  }
-  const RulesResult parsed = parseRules(aPublished.text);
-  if (!parsed.rules) {
-    refusedRevision = aPublished.revision;
-    const RuleFault& fault = parsed.faults.front();
-    logWrite(LogLevel::Error,
-             LogLine("rules-refused")
-               .add("revision", aPublished.revision)
-               .add("faults", parsed.faults.size())
-               .add("line", fault.line)
-               .add("column", fault.column)
-               .addText("reason", fault.message));
-    return;
-  }
-  rulesRevision = aPublished.revision;
-  rules = parsed.rules;
-  rebuildView();
-}
-
-void
-Node::Impl::rebuildView()
-{
-  if (!rules || hosts.revision == 0) {
-    return;
-  }
-  views.set(makeView(rulesRevision, rules, hosts));
-  logWrite(
-    LogLevel::Info,
-    LogLine("view").add("rules", rulesRevision).add("hosts", hosts.revision));
-}
-
 void
 Node::Impl::sweepLater()
 {
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -185,4 +185,15 @@
   return m_links.size();
 }
 
+std::uint32_t
+PeerLinks::pending() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  std::uint32_t frames = 0;
+  for (const auto& entry : m_served) {
+    frames += entry.second->pending();
+  }
+  return frames;
+}
+
 } // namespace toucanridge
--- a/src/peer_link_p.h
+++ b/src/peer_link_p.h
@@ -5,6 +5,7 @@
 /// to; replies return on the same connection.
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -51,6 +52,9 @@
   void send(MessageType aType, std::string aPayload, std::uint64_t aTag = 0);
   void close(const char* aReason);
 
+  /// @returns frames that were not handed to the system yet
+  std::uint32_t pending() const { return m_pending; }
+
 private:
   struct Frame
   {
@@ -74,6 +78,7 @@
   std::array<unsigned char, 5> m_header{};
   std::string m_payload;
   std::deque<Frame> m_queue;
+  std::atomic<std::uint32_t> m_pending{ 0 };
   bool m_open = false;
   bool m_writing = false;
   bool m_ended = false;
@@ -129,6 +134,9 @@
   /// @returns outgoing connections that exist
   std::size_t size() const;
 
+  /// @returns replies that were not handed to the system yet
+  std::uint32_t pending() const;
+
 private:
   using StreamPtr = std::shared_ptr<FrameStream>;
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -183,9 +183,12 @@
     "platform",
     po::value<std::string>()->required(),
     "configuration service and host list, http://address:port")(
-    "traffic-threads",
-    po::value<std::int64_t>()->default_value(2),
-    "threads for links between nodes")(
+    "seeds",
+    po::value<std::string>()->default_value(""),
+    "address:port,... of peers to ask for the host list while the platform is "
+    "down")("traffic-threads",
+            po::value<std::int64_t>()->default_value(2),
+            "threads for links between nodes")(
     "http-threads",
     po::value<std::int64_t>()->default_value(8),
     "threads of the HTTP library")("log-file",
@@ -208,6 +211,10 @@
       aSettings.peerPort =
         checkPort(aValues["peer-port"].as<std::int64_t>(), "peer-port");
       aSettings.platform = checkUrl(aValues["platform"].as<std::string>());
+      std::istringstream seeds(aValues["seeds"].as<std::string>());
+      for (std::string seed; std::getline(seeds, seed, ',');) {
+        aSettings.seeds.push_back(checkEndpoint(seed, "seeds"));
+      }
       aSettings.trafficThreads = checkThreads(
         aValues["traffic-threads"].as<std::int64_t>(), "traffic-threads");
       aSettings.httpThreads = checkThreads(
--- a/src/settings_p.h
+++ b/src/settings_p.h
@@ -22,6 +22,8 @@
   std::uint16_t httpPort = 0;
   std::uint16_t peerPort = 0; ///< TCP and UDP
   std::string platform;       ///< "http://address:port"
+  /// "address:port" of peers to ask while the platform is down
+  std::vector<std::string> seeds;
   std::uint32_t trafficThreads = 2;
   std::uint32_t httpThreads = 8;
   std::string logFile;
--- a/src/status_http.cpp
+++ b/src/status_http.cpp
@@ -33,6 +33,68 @@
   return body;
 }
 
+struct ControlCounter
+{
+  const char* name;
+  std::uint64_t value;
+};
+
+std::vector<ControlCounter>
+controlCounters(const ControlStatus& aStatus)
+{
+  const MembershipCounters& members = aStatus.membership;
+  const ConfigSyncCounters& config = aStatus.config;
+  return {
+    { "control_sent_datagrams", members.sentDatagrams },
+    { "control_sent_bytes", members.sentBytes + config.sentBytes },
+    { "control_received_datagrams", members.receivedDatagrams },
+    { "control_received_bytes", members.receivedBytes + config.receivedBytes },
+    { "control_unsent_datagrams", aStatus.unsentDatagrams },
+    { "control_malformed_datagrams", members.malformed },
+    { "control_misaddressed_datagrams", members.misaddressed },
+    { "probes", members.probes },
+    { "probes_failed", members.probesFailed },
+    { "probes_acked_indirectly", members.indirectAcks },
+    { "suspicions", members.suspicions },
+    { "deaths", members.deaths },
+    { "refutations", members.refutations },
+    { "pauses", members.pauses },
+    { "platform_reads", config.platformReads },
+    { "platform_failures", config.platformFailures },
+    { "platform_lower_ignored", config.lowerIgnored },
+    { "config_conflicts", config.conflicts },
+    { "config_refused", config.refused },
+    { "config_fetches", config.fetches },
+    { "config_deltas", config.deltas },
+    { "config_delta_faults", config.deltaFaults },
+    { "config_wholes", config.wholes },
+  };
+}
+
+json::value
+controlJson(const ControlStatus& aStatus)
+{
+  constexpr const char* kRoles[] = { "none", "first", "second", "starting" };
+  constexpr const char* kStates[] = { "alive", "suspect", "dead", "leaving" };
+  json::value body = json::value::object();
+  body["ready"] = json::value::boolean(aStatus.ready);
+  body["reader"] =
+    json::value::string(kRoles[static_cast<std::size_t>(aStatus.role)]);
+  body["rules_held"] = number(aStatus.held.rules);
+  body["hosts_held"] = number(aStatus.held.hosts);
+  body["refused_hosts_revision"] = number(aStatus.refusedHosts);
+  for (const ControlCounter& counter : controlCounters(aStatus)) {
+    body[counter.name] = number(counter.value);
+  }
+  json::value members = json::value::object();
+  for (const auto& [host, state] : aStatus.members) {
+    members[host] =
+      json::value::string(kStates[static_cast<std::size_t>(state)]);
+  }
+  body["members"] = members;
+  return body;
+}
+
 json::value
 viewJson(const View& aView)
 {
@@ -73,7 +135,8 @@
   body["host"] = json::value::string(aFacts.host);
   body["data_centre"] = json::value::string(aFacts.dataCentre);
   body["incarnation"] = number(aFacts.incarnation);
-  body["refused_revision"] = number(aFacts.refusedRevision);
+  body["refused_revision"] = number(aFacts.control->refusedRules);
+  body["control"] = controlJson(*aFacts.control);
   body["log_lines_dropped"] = number(logDropped());
   body["counters"] = countersJson(aCounters);
   if (aView) {
@@ -93,7 +156,8 @@
 }
 
 std::string
-renderMetrics(const ViewPtr& aView,
+renderMetrics(const NodeFacts& aFacts,
+              const ViewPtr& aView,
               const std::vector<GateStatus>& aGates,
               const EngineCounters& aCounters)
 {
@@ -112,8 +176,13 @@
   counter("hedges_total", aCounters.hedges);
   counter("dropped_replies_total", aCounters.droppedReplies);
   counter("log_lines_dropped_total", logDropped());
+  for (const ControlCounter& entry : controlCounters(*aFacts.control)) {
+    counter((std::string(entry.name) + "_total").c_str(), entry.value);
+  }
   out << "# TYPE toucanridge_rules_revision gauge\n"
       << "toucanridge_rules_revision " << (aView ? aView->id.rules : 0) << '\n'
+      << "# TYPE toucanridge_ready gauge\n"
+      << "toucanridge_ready " << (aFacts.control->ready ? 1 : 0) << '\n'
       << "# TYPE toucanridge_slots_in_use gauge\n";
   for (const GateStatus& gate : aGates) {
     out << "toucanridge_slots_in_use{server=\"" << gate.server << "\"} "
--- a/src/status_p.h
+++ b/src/status_p.h
@@ -4,9 +4,11 @@
 /// Renders a node's state for operators.
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "control_plane_p.h"
 #include "query_engine_p.h"
 #include "slot_table_p.h"
 #include "view_p.h"
@@ -19,7 +21,7 @@
   std::string host;
   std::string dataCentre;
   std::uint64_t incarnation = 0;
-  std::uint64_t refusedRevision = 0; ///< newest refused rules file, 0 for none
+  std::shared_ptr<const ControlStatus> control;
 };
 
 /// @returns JSON text
@@ -31,7 +33,8 @@
 
 /// @returns metrics in the text exposition format
 std::string
-renderMetrics(const ViewPtr& aView,
+renderMetrics(const NodeFacts& aFacts,
+              const ViewPtr& aView,
               const std::vector<GateStatus>& aGates,
               const EngineCounters& aCounters);
 
