--- a/tools/capacity.cpp
+++ b/tools/capacity.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -14,6 +15,7 @@
 
 #include <boost/program_options.hpp>
 
+#include "control_fleet.h"
 #include "placement_p.h"
 #include "rules_p.h"
 #include "view_p.h"
@@ -26,6 +28,7 @@
 
 constexpr std::uint32_t kServersPerService = 2;
 constexpr std::uint32_t kDataCentres = 8;
+constexpr std::uint64_t kSeed = 7;
 
 /// A rules file of the given size, in the shape of the examples.
 std::string
@@ -174,6 +177,222 @@
   print("slots_moved_on_host_loss", 560, static_cast<double>(moved), "slots");
 }
 
+/// IPv4 and UDP headers of a datagram.
+constexpr double kDatagramHeaderBytes = 28;
+constexpr std::chrono::seconds kSteadyTime{ 60 };
+
+struct ControlTotals
+{
+  std::uint64_t datagrams = 0;
+  std::uint64_t datagramBytes = 0;
+  std::uint64_t configBytes = 0;
+};
+
+ControlTotals
+totalsOf(ControlFleet& aFleet)
+{
+  ControlTotals totals;
+  totals.datagrams = aFleet.total([](ControlFleet::Member& aMember) {
+    return aMember.core.membership().counters().sentDatagrams;
+  });
+  totals.datagramBytes = aFleet.total([](ControlFleet::Member& aMember) {
+    return aMember.core.membership().counters().sentBytes;
+  });
+  totals.configBytes = aFleet.total([](ControlFleet::Member& aMember) {
+    return aMember.core.config().counters().sentBytes;
+  });
+  return totals;
+}
+
+/// A calm minute of a fleet: bytes, messages and processor time a node.
+void
+measureSteady(ControlFleet& aFleet, std::uint32_t aNodes)
+{
+  const ControlTotals before = totalsOf(aFleet);
+  const std::uint64_t reads = aFleet.platform.reads;
+  const auto cpu = std::clock();
+  aFleet.run(kSteadyTime);
+  const double cpuSeconds =
+    static_cast<double>(std::clock() - cpu) / CLOCKS_PER_SEC;
+  const ControlTotals after = totalsOf(aFleet);
+  const double nodeSeconds =
+    static_cast<double>(aNodes) * static_cast<double>(kSteadyTime.count());
+  const auto datagrams =
+    static_cast<double>(after.datagrams - before.datagrams);
+  print("control_datagrams", aNodes, datagrams / nodeSeconds, "1/s");
+  print("control_bytes",
+        aNodes,
+        (static_cast<double>(after.datagramBytes - before.datagramBytes) +
+         datagrams * kDatagramHeaderBytes) /
+          nodeSeconds,
+        "B/s");
+  print("control_cpu", aNodes, 100 * cpuSeconds / nodeSeconds, "%");
+  print("platform_reads",
+        aNodes,
+        static_cast<double>(aFleet.platform.reads - reads) /
+          static_cast<double>(kSteadyTime.count()),
+        "1/s");
+}
+
+/// One line changes: time until every node has adopted it, and its cost.
+void
+measureChange(ControlFleet& aFleet, std::uint32_t aNodes)
+{
+  const ControlTotals before = totalsOf(aFleet);
+  std::string text = aFleet.platform.rules;
+  const auto found = text.find("rights lease");
+  text.replace(found,
+               text.find('\n', found) - found,
+               "rights lease 4s # asked by Capacity T. : one line changed");
+  const auto cpu = std::clock();
+  aFleet.publish(text);
+  const std::uint64_t revision = aFleet.platform.rulesRevision;
+  const Duration took = aFleet.runUntil(
+    std::chrono::seconds(60), [&](ControlFleet::Member& aMember) {
+      return aMember.core.adopted().rules == revision;
+    });
+  const double seconds = std::chrono::duration<double>(took).count();
+  const ControlTotals after = totalsOf(aFleet);
+  print("change_spread", aNodes, seconds, "s");
+  print("change_bytes",
+        aNodes,
+        static_cast<double>(after.configBytes - before.configBytes) / aNodes,
+        "B/node");
+  print("change_cpu",
+        aNodes,
+        1000 * static_cast<double>(std::clock() - cpu) / CLOCKS_PER_SEC /
+          aNodes,
+        "ms/node");
+}
+
+/// Hosts of the first data centre, a fifth of all but never all of them.
+std::vector<std::string>
+victims(std::uint32_t aCount)
+{
+  std::vector<std::string> names;
+  for (std::uint32_t i = 0; i < aCount; ++i) {
+    names.push_back("host-" + std::to_string(i * kDataCentres + 1));
+  }
+  return names;
+}
+
+/// Hosts die at once: time until nearly all, then all survivors know, and the
+/// bytes a node until then.
+void
+measureLoss(ControlFleet& aFleet,
+            std::uint32_t aNodes,
+            const std::vector<std::string>& aDead,
+            const std::string& aName)
+{
+  constexpr std::chrono::seconds kLimit{ 900 };
+  constexpr double kNearly = 0.99;
+  for (const std::string& name : aDead) {
+    aFleet.kill(name);
+  }
+  const auto known = [&] {
+    const std::uint64_t pairs =
+      aFleet.total([&](ControlFleet::Member& aMember) {
+        std::uint64_t count = 0;
+        for (const std::string& name : aDead) {
+          count += aMember.core.membership().isAlive(name) ? 0 : 1;
+        }
+        return count;
+      });
+    return static_cast<double>(pairs) /
+           static_cast<double>(aDead.size() * (aNodes - aDead.size()));
+  };
+  const ControlTotals before = totalsOf(aFleet);
+  const TimePoint start = aFleet.clock.now();
+  const auto elapsed = [&] {
+    return std::chrono::duration<double>(aFleet.clock.now() - start).count();
+  };
+  double nearly = 0;
+  double share = known();
+  while (share < 1.0 && aFleet.clock.now() - start < kLimit) {
+    aFleet.run(std::chrono::milliseconds(500));
+    share = known();
+    if (nearly == 0 && share >= kNearly) {
+      nearly = elapsed();
+      const ControlTotals after = totalsOf(aFleet);
+      print(aName + "_bytes",
+            aNodes,
+            (static_cast<double>(after.datagramBytes - before.datagramBytes) +
+             static_cast<double>(after.datagrams - before.datagrams) *
+               kDatagramHeaderBytes) /
+              static_cast<double>(aNodes - aDead.size()) / nearly,
+            "B/s");
+    }
+  }
+  print(aName + "_known_to_99", aNodes, nearly, "s");
+  print(aName + "_known_to_all", aNodes, elapsed(), "s");
+}
+
+/// Real control objects of a whole fleet on a virtual clock.
+void
+measureControl(std::uint32_t aNodes)
+{
+  const std::uint64_t before = residentKib();
+  ControlFleet fleet(kSeed);
+  fleet.start(aNodes, kDataCentres);
+  fleet.run(std::chrono::seconds(20));
+  measureSteady(fleet, aNodes);
+  measureChange(fleet, aNodes);
+  measureLoss(fleet, aNodes, victims(1), "one_host");
+  print("control_memory",
+        aNodes,
+        static_cast<double>(residentKib() - before) / aNodes,
+        "KiB");
+  std::vector<std::string> centre = victims(aNodes / kDataCentres);
+  centre.erase(centre.begin());
+  if (!centre.empty()) {
+    measureLoss(fleet, aNodes - 1, centre, "data_centre");
+  }
+}
+
+/// The same with a rules file of growing size.
+void
+measureControlByServers()
+{
+  constexpr std::uint32_t kNodes = 32;
+  for (const std::uint32_t servers : { 450U, 900U, 1800U, 3600U }) {
+    const std::uint64_t before = residentKib();
+    ControlFleet fleet(kSeed);
+    fleet.start(kNodes, kDataCentres);
+    fleet.publish(makeRules(servers) +
+                  "rights lease 5s # asked by Capacity T. : measurement\n");
+    fleet.run(std::chrono::seconds(30));
+    print("control_memory_by_servers",
+          servers,
+          static_cast<double>(residentKib() - before) / kNodes,
+          "KiB");
+    const ControlTotals start = totalsOf(fleet);
+    const auto cpu = std::clock();
+    std::string text = fleet.platform.rules;
+    const auto found = text.rfind("rights lease 5s");
+    text.replace(found, 15, "rights lease 6s");
+    fleet.publish(text);
+    const std::uint64_t revision = fleet.platform.rulesRevision;
+    const Duration took = fleet.runUntil(
+      std::chrono::seconds(60), [&](ControlFleet::Member& aMember) {
+        return aMember.core.adopted().rules == revision;
+      });
+    print("change_spread_by_servers",
+          servers,
+          std::chrono::duration<double>(took).count(),
+          "s");
+    print("change_cpu_by_servers",
+          servers,
+          1000 * static_cast<double>(std::clock() - cpu) / CLOCKS_PER_SEC /
+            kNodes,
+          "ms/node");
+    print("change_bytes_by_servers",
+          servers,
+          static_cast<double>(totalsOf(fleet).configBytes - start.configBytes) /
+            kNodes,
+          "B/node");
+  }
+}
+
 struct Section
 {
   const char* name;
@@ -184,6 +403,7 @@
   { "rules", measureRules },
   { "view", measureView },
   { "moves", measureMoves },
+  { "control-servers", measureControlByServers },
 };
 
 } // namespace
@@ -195,7 +415,10 @@
   options.add_options()("help", "print this help")(
     "section",
     po::value<std::string>()->default_value(""),
-    "run one section only");
+    "run one section only")(
+    "nodes",
+    po::value<std::uint32_t>()->default_value(0),
+    "measure the control objects of a fleet of this size instead");
   try {
     po::variables_map values;
     po::store(po::parse_command_line(aCount, aValues, options), values);
@@ -204,6 +427,11 @@
       return 0;
     }
     po::notify(values);
+    const auto nodes = values["nodes"].as<std::uint32_t>();
+    if (nodes != 0) {
+      measureControl(nodes);
+      return 0;
+    }
     const std::string only = values["section"].as<std::string>();
     for (const Section& section : kSections) {
       if (only.empty() || only == section.name) {
