--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	@scripts/bench.sh $(BUILD)
 
 capacity: build
-	@scripts/capacity.sh $(BUILD)
+	@python3 scripts/capacity.py $(BUILD)
 
 format:
 	@git ls-files '*.h' '*.cpp' | xargs clang-format -i
--- /dev/null
+++ b/scripts/capacity.py
@@ -0,0 +1,323 @@
+#!/usr/bin/env python3
+"""Measures the slopes behind docs/CAPACITY.md and writes its tables.
+
+Real nodes run in growing numbers beside small stand-ins; past what one machine
+holds, the capacity tool drives the real control objects of whole fleets.
+Usage: capacity.py BUILD [--quick]
+"""
+import asyncio
+import json
+import math
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+
+import scenario
+
+ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
+NODES, SERVERS, QUERIES, FAN_OUT = 560, 3600, 72000, 87
+CHANGES_A_DAY, DATA_CENTRES = 1500, 8
+LIMITS = {"cpu": 2.8, "memory": 128.0, "bytes": 9000.0, "spread": 11.0}
+REAL_FLEETS = [8, 16, 32, 64]
+OBJECT_FLEETS = [16, 32, 64, 140, 280, 560]
+IDLE_S = 10
+LOAD_S = 12
+RATES = [10, 20, 30, 40]
+TICK = os.sysconf("SC_CLK_TCK")
+
+
+def fit(points):
+    """Least squares. Returns intercept, slope and the slope's std error."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    start = mean_y - slope * mean_x
+    rest = sum((y - start - slope * x) ** 2 for x, y in points)
+    error = math.sqrt(rest / max(1, n - 2) / spread)
+    return start, slope, error
+
+
+def at_size(points, size):
+    """Value at a size, and its error from that of the slope."""
+    start, slope, error = fit(points)
+    mean_x = sum(x for x, _ in points) / len(points)
+    return start + slope * size, error * abs(size - mean_x)
+
+
+def deployment(folder, hosts):
+    """An example of the given number of hosts over 8 data centres."""
+    os.makedirs(folder)
+    asked = " # asked by Capacity T. : measurement\n"
+    with open(os.path.join(folder, "rules.txt"), "w") as out:
+        for number in range(DATA_CENTRES):
+            out.write("data-centre dc-%d in%s" % (number, asked))
+        out.write("rights lease 3s" + asked)
+        for number in range(1, 21):
+            out.write("service index/%02d servers 127.21.0.%d:8100,127.21.0.%d:"
+                      "8100 slots 3 connections 30 connect-cost 6ms cold-slots "
+                      "1%s" % (number, 2 * number, 2 * number + 1, asked))
+        out.write("snapshot index 7 services 01..20" + asked)
+        out.write("class search application index deadline 900ms priority 5 "
+                  "wait coverage idempotent yes fan-out all" + asked)
+    with open(os.path.join(folder, "hosts.json"), "w") as out:
+        json.dump([{"name": "host-%d" % n, "data_centre":
+                    "dc-%d" % (n % DATA_CENTRES), "address": "127.20.0.1",
+                    "http_port": scenario.HTTP_PORT,
+                    "peer_port": scenario.PEER_PORT, "state": "live"}
+                   for n in range(hosts)], out)
+
+
+def cpu_seconds(pid):
+    fields = open("/proc/%d/stat" % pid).read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICK
+
+
+def resident_mib(pid):
+    for line in open("/proc/%d/status" % pid):
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0
+
+
+async def metric(fleet, name):
+    """Sum of a metric over all nodes."""
+    total = 0.0
+    for host in fleet.hosts:
+        _, raw = await scenario.http(host["real"], scenario.HTTP_PORT, "GET",
+                                     "/metrics")
+        for line in raw.decode().splitlines():
+            if line.startswith(name + " ") or line.startswith(name + "{"):
+                total += float(line.rsplit(" ", 1)[1])
+    return total
+
+
+def node_pids(fleet):
+    return [fleet.processes[h["name"]].pid for h in fleet.hosts]
+
+
+class Run:
+    """One fleet, started and stopped."""
+
+    def __init__(self, build, hosts):
+        self.folder = tempfile.mkdtemp(prefix="toucanridge-capacity-")
+        example = os.path.join(self.folder, "example")
+        deployment(example, hosts)
+        self.fleet = scenario.Fleet(build, 100, self.folder, example,
+                                    ["--warm"])
+
+    async def __aenter__(self):
+        try:
+            await self.fleet.start()
+        except BaseException:
+            self.fleet.stop()
+            raise
+        return self.fleet
+
+    async def __aexit__(self, *_):
+        self.fleet.stop()
+        shutil.rmtree(self.folder)
+
+
+async def idle(build, hosts):
+    """Idle cost of a node in a fleet of real processes."""
+    async with Run(build, hosts) as fleet:
+        await asyncio.sleep(5)
+        pids = node_pids(fleet)
+        cpu = sum(cpu_seconds(p) for p in pids)
+        sent = await metric(fleet, "toucanridge_control_sent_bytes_total")
+        began = time.monotonic()
+        await asyncio.sleep(IDLE_S)
+        took = time.monotonic() - began
+        cpu = sum(cpu_seconds(p) for p in pids) - cpu
+        sent = await metric(fleet, "toucanridge_control_sent_bytes_total") - sent
+        memory = sum(resident_mib(p) for p in pids) / hosts
+        fleet.rules = fleet.rules.replace("rights lease 3s", "rights lease 4s")
+        changed = time.monotonic()
+        fleet.write_rules()
+        while min([await revision(fleet, h) for h in fleet.hosts]) < 2:
+            await asyncio.sleep(0.05)
+        return {"idle_cpu": 100 * cpu / hosts / took,
+                "idle_memory": memory, "idle_bytes": sent / hosts / took,
+                "real_spread": time.monotonic() - changed}
+
+
+async def revision(fleet, host):
+    _, raw = await scenario.http(host["real"], scenario.HTTP_PORT, "GET",
+                                 "/v1/status")
+    return json.loads(raw).get("view", {}).get("rules_revision", 0)
+
+
+async def loaded(build, rate):
+    """Processor time of 8 nodes under a load of fan-out queries."""
+    async with Run(build, 8) as fleet:
+        callers = scenario.Callers(fleet, "search", rate, None, False, seed=1)
+        pids = node_pids(fleet)
+        cpu = sum(cpu_seconds(p) for p in pids)
+        before = await fleet.backend_stats()
+        await callers.run(time.monotonic(), LOAD_S)
+        cpu = sum(cpu_seconds(p) for p in pids) - cpu
+        after = await fleet.backend_stats()
+        requests = sum(s["requests"] for s in after) - \
+            sum(s["requests"] for s in before)
+        whole = sum(a["outcome"] == "whole" for a in callers.answers)
+        return {"sub_requests": requests / LOAD_S, "cpu": cpu / LOAD_S,
+                "whole": whole / max(1, len(callers.answers)),
+                "server_connections": max(s["peak_open"] for s in after),
+                "memory": sum(resident_mib(p) for p in pids) / 8}
+
+
+def objects(build):
+    """What the capacity tool prints, as {name: [(x, value)]}."""
+    tool = os.path.join(build, "capacity")
+    calls = [[tool]] + [[tool, "--nodes", str(n)] for n in OBJECT_FLEETS]
+    found = {}
+    for call in calls:
+        output = subprocess.run(call, capture_output=True, text=True, check=True)
+        for line in output.stdout.splitlines():
+            name, x, value, _ = line.split(",")
+            found.setdefault(name, []).append((float(x), float(value)))
+    return found
+
+
+def plot(found, real, folder):
+    """docs/capacity.svg: control bytes and spread time against nodes."""
+    data = os.path.join(folder, "points.txt")
+    with open(data, "w") as out:
+        for name in ("control_bytes", "change_spread"):
+            for x, y in found[name]:
+                out.write("%g %g\n" % (x, y))
+            out.write("\n\n")
+        for n in sorted(real):
+            out.write("%d %g\n" % (n, real[n]["idle_bytes"]))
+    script = """
+set terminal svg size 720,420
+set output '%s'
+set logscale x 2
+set xlabel 'nodes'
+set ylabel 'control bytes a second and node'
+set y2label 'time for a change to be in force everywhere, s'
+set ytics nomirror
+set y2tics
+set yrange [0:1000]
+set y2range [0:11]
+set key left top
+plot '%s' index 0 with linespoints title 'bytes, control objects', \\
+     '%s' index 2 with linespoints title 'bytes, real processes', \\
+     '%s' index 1 axes x1y2 with linespoints title 'spread time'
+""" % (os.path.join(ROOT, "docs", "capacity.svg"), data, data, data)
+    subprocess.run(["gnuplot"], input=script, text=True, check=True)
+
+
+def last(found, name):
+    return found[name][-1][1]
+
+
+def tables(found, real, load):
+    """The measured part of the page, as Markdown."""
+    lines = ["| nodes | source | control B/s | CPU % | memory MiB | change in "
+             "force, s | platform reads/s |", "|---|---|---|---|---|---|---|"]
+    for index, (nodes, value) in enumerate(found["control_bytes"]):
+        lines.append("| %d | control objects | %.0f | %.4f | %.2f | %.1f | %.1f |" % (
+            nodes, value, found["control_cpu"][index][1],
+            found["control_memory"][index][1] / 1024,
+            found["change_spread"][index][1],
+            found["platform_reads"][index][1]))
+    for nodes in sorted(real):
+        r = real[nodes]
+        lines.append("| %d | real processes, idle | %.0f | %.2f | %.1f | %.1f | |" % (
+            nodes, r["idle_bytes"], r["idle_cpu"], r["idle_memory"],
+            r["real_spread"]))
+    lines += ["", "| size | value at full size | limit |", "|---|---|---|"]
+    cpu, cpu_error = at_size([(n, real[n]["idle_cpu"]) for n in real], NODES)
+    memory, memory_error = at_size(
+        [(n, real[n]["idle_memory"]) for n in real], NODES)
+    change = last(found, "change_cpu") + last(found, "change_cpu_by_servers")
+    change_share = 100 * change / 1000 * CHANGES_A_DAY / 86400
+    objects_memory = (last(found, "control_memory") +
+                      last(found, "control_memory_by_servers") +
+                      last(found, "view_memory")) / 1024
+    lines.append("| control traffic a node | %.0f B/s | %.0f B/s |" % (
+        last(found, "control_bytes"), LIMITS["bytes"]))
+    lines.append("| the same while a data centre of 69 hosts dies | %.0f B/s | "
+                 "%.0f B/s |" % (last(found, "data_centre_bytes"),
+                                 LIMITS["bytes"]))
+    lines.append("| idle CPU of a process, fitted to %d nodes | %.2f %% +- %.2f "
+                 "| %.1f %% |" % (NODES, cpu, cpu_error, LIMITS["cpu"]))
+    lines.append("| CPU for %d changes a day of a %.0f KB file | %.3f %% | in the "
+                 "%.1f %% |" % (CHANGES_A_DAY,
+                                last(found, "rules_bytes") / 1000,
+                                change_share, LIMITS["cpu"]))
+    lines.append("| idle memory of a process, fitted to %d nodes | %.0f MiB +- "
+                 "%.0f | %.0f MiB |" % (NODES, memory, memory_error,
+                                        LIMITS["memory"]))
+    lines.append("| control objects for %d nodes and %d servers | %.1f MiB | in "
+                 "the %.0f MiB |" % (NODES, SERVERS, objects_memory,
+                                     LIMITS["memory"]))
+    lines.append("| change in force everywhere | %.1f s | %.0f s |" % (
+        last(found, "change_spread"), LIMITS["spread"]))
+    lines.append("| platform reads, %d data centres | %.1f /s | 2000 /s |" % (
+        DATA_CENTRES, last(found, "platform_reads")))
+    _, slope, error = fit([(l["sub_requests"], l["cpu"]) for l in load])
+    node_rate = QUERIES * FAN_OUT / NODES
+    lines += ["", "| sub-requests/s, 8 nodes | CPU cores | whole answers | peak "
+              "connections at a server | memory a node, MiB |",
+              "|---|---|---|---|---|"]
+    for l in load:
+        lines.append("| %.0f | %.3f | %.3f | %d | %.1f |" % (
+            l["sub_requests"], l["cpu"], l["whole"], l["server_connections"],
+            l["memory"]))
+    lines += ["", "| data plane at full size | value |", "|---|---|",
+              "| CPU a sub-request, entry and holder together | %.0f us +- %.0f |"
+              % (1e6 * slope, 1e6 * error),
+              "| sub-requests a node | %.0f /s |" % node_rate,
+              "| cores a node for traffic | %.2f +- %.2f |" % (
+                  slope * node_rate, error * node_rate)]
+    return "\n".join(lines) + "\n"
+
+
+def write_page(text):
+    """Replaces the part of the page between its two marks."""
+    path = os.path.join(ROOT, "docs", "CAPACITY.md")
+    begin, end = "<!-- measured -->\n", "<!-- end of measured -->\n"
+    page = open(path).read()
+    head, _, rest = page.partition(begin)
+    tail = rest.partition(end)[2]
+    with open(path, "w") as out:
+        out.write(head + begin + text + end + tail)
+
+
+async def measure(build, quick):
+    real = {}
+    for hosts in REAL_FLEETS[:2] if quick else REAL_FLEETS:
+        real[hosts] = await idle(build, hosts)
+        print("idle", hosts, real[hosts], flush=True)
+    load = []
+    for rate in RATES[:2] if quick else RATES:
+        load.append(await loaded(build, rate))
+        print("load", rate, load[-1], flush=True)
+    return real, load
+
+
+def main():
+    if len(sys.argv) < 2:
+        print(__doc__)
+        return 2
+    build = sys.argv[1]
+    real, load = asyncio.run(measure(build, "--quick" in sys.argv))
+    found = objects(build)
+    text = tables(found, real, load)
+    print(text)
+    if "--quick" not in sys.argv:
+        with tempfile.TemporaryDirectory() as folder:
+            plot(found, real, folder)
+        write_page(text)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
