--- a/src/node.cpp
+++ b/src/node.cpp
@@ -14,6 +14,7 @@
 #include "peer_link_p.h"
 #include "platform_http_p.h"
 #include "query_engine_p.h"
+#include "rights_p.h"
 #include "slot_table_p.h"
 #include "status_p.h"
 #include "threads_http_p.h"
@@ -26,17 +27,12 @@
 
 constexpr milliseconds kPlatformPoll{ 500 };
 constexpr milliseconds kSweepEvery{ 20 };
+constexpr milliseconds kRightsTick{ 50 };
 constexpr milliseconds kAddressValidity{ 2000 };
 /// Longest time that a shutdown waits for running queries; longer than any
 /// deadline of a class would need.
 constexpr std::chrono::seconds kDrainLimit{ 60 };
 
-class HolderRights final : public RightsI
-{
-public:
-  bool mayUse(const SlotKey&) const override { return true; }
-};
-
 class NoWarmth final : public WarmthI
 {
 public:
@@ -89,6 +85,7 @@
   void applyRules(const PublishedRules& aPublished);
   void rebuildView();
   void sweepLater();
+  void tickRights();
 
   NodeSettings settings;
   std::uint64_t incarnation = makeIncarnation();
@@ -101,9 +98,10 @@
   asio::executor_work_guard<asio::io_context::executor_type> trafficWork;
   asio::steady_timer pollTimer;
   asio::steady_timer sweepTimer;
+  asio::steady_timer rightsTimer;
   std::vector<std::thread> threads;
 
-  HolderRights rights;
+  SendingRights rights;
   NoWarmth warmth;
   BackendHttp backend;
   SlotTable slots;
@@ -127,6 +125,8 @@
   , trafficWork(asio::make_work_guard(traffic))
   , pollTimer(control)
   , sweepTimer(traffic)
+  , rightsTimer(control)
+  , rights(clock, settings.host)
   , backend(traffic)
   , slots(clock, views, rights, warmth, backend, settings.host)
   , chooser(incarnation, [](const std::string&) { return true; })
@@ -166,6 +166,7 @@
     threads.emplace_back([this] { traffic.run(); });
   }
   asio::post(control, [this] { pollPlatform(); });
+  asio::post(control, [this] { tickRights(); });
   asio::post(traffic, [this] { sweepLater(); });
   error = callers.init(settings.address, settings.httpPort);
   if (error) {
@@ -193,7 +194,10 @@
   stopping = true;
   callers.shutdown();
   links.shutdown();
-  asio::post(control, [this] { pollTimer.cancel(); });
+  asio::post(control, [this] {
+    pollTimer.cancel();
+    rightsTimer.cancel();
+  });
   asio::post(traffic, [this] { sweepTimer.cancel(); });
   controlWork.reset();
   trafficWork.reset();
@@ -411,12 +415,27 @@
   if (!rules || hosts.revision == 0) {
     return;
   }
-  views.set(makeView(rulesRevision, rules, hosts));
+  ViewPtr view = makeView(rulesRevision, rules, hosts);
+  // Rights first: traffic must not use a lost slot under the new view.
+  rights.adopt(view);
+  views.set(std::move(view));
   logWrite(
     LogLevel::Info,
     LogLine("view").add("rules", rulesRevision).add("hosts", hosts.revision));
 }
 
+void
+Node::Impl::tickRights()
+{
+  rights.tick();
+  rightsTimer.expires_after(kRightsTick);
+  rightsTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError && !stopping) {
+      tickRights();
+    }
+  });
+}
+
 void
 Node::Impl::sweepLater()
 {
--- a/src/slot_table.cpp
+++ b/src/slot_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "log_p.h"
+#include "rights_p.h"
 
 namespace toucanridge {
 namespace {
@@ -46,9 +47,21 @@
   , m_warmth(aWarmth)
   , m_backend(aBackend)
   , m_self(std::move(aSelf))
+  , m_startedAt(aClock.now())
 {
 }
 
+std::vector<SlotTable::GatePtr>
+SlotTable::gates() const
+{
+  std::vector<GatePtr> list;
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& entry : m_gates) {
+    list.push_back(entry.second);
+  }
+  return list;
+}
+
 SlotTable::GatePtr
 SlotTable::gate(const std::string& aServer)
 {
@@ -64,7 +77,7 @@
 /// Marks the slots that this node holds in the current view. A slot that is
 /// busy keeps its entry until its request ends.
 void
-SlotTable::refresh(Gate& aGate, const std::string& aService) const
+SlotTable::refresh(Gate& aGate) const
 {
   ViewPtr view = m_views.get();
   if (!view || view == aGate.view) {
@@ -74,7 +87,7 @@
     slot.held = false;
   }
   aGate.view = view;
-  const auto found = view->rules->serviceIndex.find(aService);
+  const auto found = view->rules->serviceIndex.find(aGate.service);
   if (found == view->rules->serviceIndex.end()) {
     return;
   }
@@ -145,7 +158,8 @@
   Ended ended;
   {
     const std::lock_guard<std::mutex> lock(target->mutex);
-    refresh(*target, service);
+    target->service = service;
+    refresh(*target);
     const bool holds =
       std::any_of(target->slots.begin(),
                   target->slots.end(),
@@ -169,6 +183,7 @@
 bool
 SlotTable::takeSend(Gate& aGate, Send& aSend, Ended& aEnded) const
 {
+  refresh(aGate);
   const TimePoint now = m_clock.now();
   const auto expired = [now](const Waiting& aWork) {
     return aWork.task.deadline <= now;
@@ -199,6 +214,8 @@
     aGate.queue.erase(aGate.queue.begin());
     const SubTask& task = aSend.work.task;
     slot.busy = true;
+    // Loaded before the rights were read, so never newer than they were.
+    slot.sentUnder = aGate.view->id;
     slot.handle = 0;
     slot.origin = task.origin;
     slot.query = task.batch->query;
@@ -233,13 +250,43 @@
     if (!sending) {
       return;
     }
-    start(aGate, std::move(send));
+    if (!start(aGate, std::move(send))) {
+      return;
+    }
   }
 }
 
+/// Frees the slot of a request that was not sent and queues the request again.
 void
+SlotTable::putBack(const GatePtr& aGate, Send aSend)
+{
+  Ended ended;
+  {
+    const std::lock_guard<std::mutex> lock(aGate->mutex);
+    for (Slot& slot : aGate->slots) {
+      if (slot.index == aSend.slot) {
+        slot.busy = false;
+      }
+    }
+    enqueue(*aGate, std::move(aSend.work), ended);
+  }
+  for (auto& [work, reply] : ended) {
+    work.done(std::move(reply));
+  }
+}
+
+/// Sends a request, or queues it again when the process was paused since the
+/// request was taken and the right or the deadline has passed.
+/// @returns false when it was not sent
+bool
 SlotTable::start(const GatePtr& aGate, Send aSend)
 {
+  const TimePoint now = m_clock.now();
+  if (aSend.work.task.deadline <= now || !m_rights.mayUse(aSend.call.key)) {
+    putBack(aGate, std::move(aSend));
+    return false;
+  }
+  aSend.call.timeLeft = aSend.work.task.deadline - now;
   ++m_inFlight;
   if (logEnabled(LogLevel::Debug)) {
     logWrite(LogLevel::Debug,
@@ -262,6 +309,7 @@
       slot.handle = handle;
     }
   }
+  return true;
 }
 
 void
@@ -292,15 +340,8 @@
 void
 SlotTable::cancel(const std::string& aOrigin, std::uint64_t aQuery)
 {
-  std::vector<GatePtr> gates;
-  {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    for (const auto& entry : m_gates) {
-      gates.push_back(entry.second);
-    }
-  }
   std::vector<std::uint64_t> running;
-  for (const GatePtr& target : gates) {
+  for (const GatePtr& target : gates()) {
     const std::lock_guard<std::mutex> lock(target->mutex);
     const auto matches = [&](const Waiting& aWaiting) {
       return aWaiting.task.batch->query == aQuery &&
@@ -324,26 +365,39 @@
 void
 SlotTable::sweep()
 {
-  std::vector<GatePtr> gates;
-  {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    for (const auto& entry : m_gates) {
-      gates.push_back(entry.second);
-    }
-  }
-  for (const GatePtr& target : gates) {
+  for (const GatePtr& target : gates()) {
     {
       const std::lock_guard<std::mutex> lock(target->mutex);
       if (target->queue.empty()) {
         continue;
       }
-      const std::string service = target->queue.front().task.subItem().service;
-      refresh(*target, service);
     }
     dispatch(target);
   }
 }
 
+ViewId
+SlotTable::settled() const
+{
+  // The view is read first: a send that this loop misses starts later and
+  // reads rights at least as new as this view.
+  const ViewPtr view = m_views.get();
+  if (!view || m_clock.now() < m_startedAt + startSilence(*view->rules)) {
+    return {};
+  }
+  ViewId oldest = view->id;
+  for (const GatePtr& target : gates()) {
+    const std::lock_guard<std::mutex> lock(target->mutex);
+    for (const Slot& slot : target->slots) {
+      if (slot.busy) {
+        oldest.rules = std::min(oldest.rules, slot.sentUnder.rules);
+        oldest.hosts = std::min(oldest.hosts, slot.sentUnder.hosts);
+      }
+    }
+  }
+  return oldest;
+}
+
 std::vector<GateStatus>
 SlotTable::status() const
 {
--- a/src/slot_table_p.h
+++ b/src/slot_table_p.h
@@ -65,6 +65,11 @@
 
   std::vector<GateStatus> status() const;
 
+  /// @returns a view such that no request under an older one is in flight or
+  ///          will start; the null view while a previous process of this host
+  ///          may still have requests or leases
+  ViewId settled() const;
+
   /// @returns requests in flight to backend servers
   std::uint32_t inFlight() const { return m_inFlight; }
 
@@ -79,6 +84,7 @@
     std::uint32_t index = 0;
     bool held = false;
     bool busy = false;
+    ViewId sentUnder; ///< the view when the running request was taken
     std::uint64_t handle = 0;
     std::string origin;
     std::uint64_t query = 0;
@@ -87,6 +93,7 @@
   struct Gate
   {
     std::string server;
+    std::string service;
     ViewPtr view; ///< the view that `slots` was made from
     std::vector<Slot> slots;
     std::vector<Waiting> queue; ///< best first
@@ -103,11 +110,13 @@
   using Ended = std::vector<std::pair<Waiting, SubReply>>;
 
   GatePtr gate(const std::string& aServer);
-  void refresh(Gate& aGate, const std::string& aService) const;
+  void refresh(Gate& aGate) const;
   void enqueue(Gate& aGate, Waiting aWork, Ended& aEnded) const;
   void dispatch(const GatePtr& aGate);
   bool takeSend(Gate& aGate, Send& aSend, Ended& aEnded) const;
-  void start(const GatePtr& aGate, Send aSend);
+  bool start(const GatePtr& aGate, Send aSend);
+  void putBack(const GatePtr& aGate, Send aSend);
+  std::vector<GatePtr> gates() const;
   void finish(const GatePtr& aGate,
               std::uint32_t aSlot,
               const Waiting& aWork,
@@ -119,6 +128,7 @@
   WarmthI& m_warmth;
   BackendI& m_backend;
   std::string m_self;
+  const TimePoint m_startedAt;
   std::atomic<std::uint32_t> m_inFlight{ 0 };
   mutable std::mutex m_mutex; ///< guards m_gates only
   std::map<std::string, GatePtr> m_gates;
