--- a/src/control_plane.cpp
+++ b/src/control_plane.cpp
@@ -107,10 +107,12 @@
                           LogLine("view")
                             .add("rules", aView->id.rules)
                             .add("hosts", aView->id.hosts));
-                 m_views.set(aView);
+                 // Rights first: traffic must not use a lost slot under the
+                 // new view.
                  if (m_onView) {
                    m_onView(aView);
                  }
+                 m_views.set(aView);
                }
              } })
   , m_timer(aContext)
--- a/src/control_plane_p.h
+++ b/src/control_plane_p.h
@@ -62,8 +62,8 @@
   /// Tells which view is settled, on the control thread; see PeerState. Call
   /// it before init().
   void setSettled(std::function<ViewId()> aSettled) { m_settled = aSettled; }
-  /// Called on the control thread with each view that new work may use, after
-  /// it was published. Call it before init().
+  /// Called on the control thread with each view that new work may use, before
+  /// it is published to traffic. Call it before init().
   void setOnView(std::function<void(const ViewPtr&)> aOnView)
   {
     m_onView = std::move(aOnView);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -15,6 +15,7 @@
 #include "peer_link_p.h"
 #include "platform_http_p.h"
 #include "query_engine_p.h"
+#include "rights_p.h"
 #include "slot_table_p.h"
 #include "status_p.h"
 #include "threads_http_p.h"
@@ -26,16 +27,11 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSweepEvery{ 20 };
+constexpr milliseconds kRightsTick{ 50 };
 /// Longest time that a shutdown waits for running queries; longer than any
 /// deadline of a class would need.
 constexpr std::chrono::seconds kDrainLimit{ 60 };
 
-class HolderRights final : public RightsI
-{
-public:
-  bool mayUse(const SlotKey&) const override { return true; }
-};
-
 class NoWarmth final : public WarmthI
 {
 public:
@@ -87,6 +83,7 @@
                    const std::function<void(SubReply)>& aDone);
   bool isIdle() const;
   void sweepLater();
+  void tickRights();
 
   NodeSettings settings;
   std::uint64_t incarnation = makeIncarnation();
@@ -98,9 +95,10 @@
   asio::executor_work_guard<asio::io_context::executor_type> controlWork;
   asio::executor_work_guard<asio::io_context::executor_type> trafficWork;
   asio::steady_timer sweepTimer;
+  asio::steady_timer rightsTimer;
   std::vector<std::thread> threads;
 
-  HolderRights rights;
+  SendingRights rights;
   NoWarmth warmth;
   BackendHttp backend;
   SlotTable slots;
@@ -119,6 +117,8 @@
   , controlWork(asio::make_work_guard(control))
   , trafficWork(asio::make_work_guard(traffic))
   , sweepTimer(traffic)
+  , rightsTimer(control)
+  , rights(clock, settings.host)
   , backend(traffic)
   , slots(clock, views, rights, warmth, backend, settings.host)
   , chooser(incarnation,
@@ -163,6 +163,9 @@
   if (error) {
     return error;
   }
+  plane.setEvidence(&rights);
+  plane.setSettled([this] { return slots.settled(); });
+  plane.setOnView([this](const ViewPtr& aView) { rights.adopt(aView); });
   error = plane.init();
   if (error) {
     return error;
@@ -171,6 +174,7 @@
   for (std::uint32_t i = 0; i < settings.trafficThreads; ++i) {
     threads.emplace_back([this] { traffic.run(); });
   }
+  asio::post(control, [this] { tickRights(); });
   asio::post(traffic, [this] { sweepLater(); });
   error = callers.init(settings.address, settings.httpPort);
   if (error) {
@@ -217,6 +221,7 @@
   stopping = true;
   callers.shutdown();
   links.shutdown();
+  asio::post(control, [this] { rightsTimer.cancel(); });
   asio::post(traffic, [this] { sweepTimer.cancel(); });
   controlWork.reset();
   trafficWork.reset();
@@ -369,6 +374,18 @@
              .add("bytes", aPayload.size()));
 }
 
+void
+Node::Impl::tickRights()
+{
+  rights.tick();
+  rightsTimer.expires_after(kRightsTick);
+  rightsTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError && !stopping) {
+      tickRights();
+    }
+  });
+}
+
 void
 Node::Impl::sweepLater()
 {
