--- a/src/rights.cpp
+++ b/src/rights.cpp
@@ -120,7 +120,7 @@
   m_longestDeadline =
     std::max(m_longestDeadline, longestDeadline(*aView->rules));
   if (m_view && !isNext(m_view->id, aView->id)) {
-    m_historyFrom = TimePoint::max();
+    forgetHistory(false);
   }
   moveSlots(*aView, places);
   m_view = aView;
@@ -163,7 +163,7 @@
                                    return aEarlier.place.host == m_self;
                                  }),
                   earlier.end());
-    m_held[key].fresh = slot.forgotten;
+    m_held[key].fresh = slot.forgotten || !m_history.open;
   }
   for (const auto& [key, place] : aPlaces) {
     if (m_slots.emplace(key, Slot{ place, {}, false }).second &&
@@ -229,6 +229,21 @@
   return end > aNow ? end : TimePoint::min();
 }
 
+/// Makes every slot that is not open, or every slot, wait as after a start.
+void
+SendingRights::forgetHistory(bool aClose)
+{
+  m_history = Held{};
+  for (auto& [key, held] : m_held) {
+    if (held.open && aClose) {
+      logSlot("right-lost", key, m_view->id, "lease-lapsed");
+    }
+    if (!held.open || aClose) {
+      held = Held{};
+    }
+  }
+}
+
 void
 SendingRights::renewLease(TimePoint aNow)
 {
@@ -252,19 +267,10 @@
   // have adopted a newer view, restarted and read this one again.
   const bool sameView = m_leaseView == m_view->id;
   if (lapsed && (!sameView || m_leaseEnd + m_longestLease < aNow)) {
-    for (auto& [key, held] : m_held) {
-      if (held.open) {
-        logSlot("right-lost", key, m_view->id, "lease-lapsed");
-      }
-      held = Held{};
-    }
-    m_historyFrom = TimePoint::max();
+    forgetHistory(true);
     publish();
   }
   m_leaseView = m_view->id;
-  if (m_historyFrom == TimePoint::max()) {
-    m_historyFrom = aNow + handoverWait();
-  }
   if (!m_leased) {
     m_leased = true;
     logWrite(LogLevel::Info,
@@ -301,17 +307,17 @@
 }
 
 bool
-SendingRights::elsewhereMoved(const Held& aHeld,
-                              const Slot& aSlot,
+SendingRights::elsewhereMoved(bool aFresh,
+                              const std::vector<Earlier>& aEarlier,
                               TimePoint aNow) const
 {
   std::set<std::string> elsewhere;
-  if (aHeld.fresh) {
+  if (aFresh) {
     for (const Host& host : m_view->hosts.hosts) {
       elsewhere.insert(host.dataCentre);
     }
   }
-  for (const Earlier& earlier : aSlot.earlier) {
+  for (const Earlier& earlier : aEarlier) {
     elsewhere.insert(earlier.place.dataCentre);
   }
   elsewhere.erase(m_dataCentre);
@@ -337,30 +343,46 @@
   return earlier.empty();
 }
 
+/// Starts the handover wait when the other data centres show this view.
+/// @returns true when they still show it at the end of the wait
+bool
+SendingRights::hasWaited(Held& aHeld,
+                         const std::vector<Earlier>& aEarlier,
+                         TimePoint aNow) const
+{
+  if (aHeld.waiting && aNow < aHeld.waitStart + handoverWait()) {
+    return false;
+  }
+  if (!elsewhereMoved(aHeld.fresh, aEarlier, aNow)) {
+    return false;
+  }
+  if (!aHeld.waiting) {
+    aHeld.waiting = true;
+    aHeld.waitStart = aNow;
+    return false;
+  }
+  return true;
+}
+
 void
 SendingRights::openSlots(TimePoint aNow)
 {
   if (!m_view || m_leaseView != m_view->id || m_leaseEnd <= aNow) {
     return;
   }
+  m_history.open = m_history.open || hasWaited(m_history, {}, aNow);
   bool changed = false;
   for (auto& [key, held] : m_held) {
     if (held.open) {
       continue;
     }
     Slot& slot = m_slots.at(key);
-    const bool settled = earlierSettled(slot);
-    if (!held.fresh && aNow >= m_historyFrom && settled) {
+    if (earlierSettled(slot) && !held.fresh) {
       held.open = true;
       logSlot("right-handed-over", key, m_view->id, "settled");
-    } else if (elsewhereMoved(held, slot, aNow)) {
-      if (!held.waiting) {
-        held.waiting = true;
-        held.waitStart = aNow;
-      } else if (aNow >= held.waitStart + handoverWait()) {
-        held.open = true;
-        logSlot("right-gained", key, m_view->id, "waited");
-      }
+    } else if (hasWaited(held, slot.earlier, aNow)) {
+      held.open = true;
+      logSlot("right-gained", key, m_view->id, "waited");
     }
     if (held.open) {
       held.fresh = false;
--- a/src/rights_p.h
+++ b/src/rights_p.h
@@ -53,10 +53,11 @@
 /// Several views in a row: every earlier holder since the last completed
 /// handover must settle, since a holder may have taken no part between two
 /// changes. A returning earlier holder does not wait for itself but for the
-/// holders in between. A lease that lapsed for more than L or comes back under
-/// another view, and a started node, know nothing of the time between: all
-/// slots wait, and all data centres must show half of their hosts under this
-/// view.
+/// holders in between. A started node, and one whose lease lapsed for more than
+/// L or comes back under another view, may have missed holders: all its slots
+/// wait, and every data centre must show half of its hosts under this view. The
+/// same holds for slots gained in or soon after a jump over revisions, because
+/// a holder of a skipped view may go on in any data centre.
 class SendingRights final
   : public RightsI
   , public PeerEvidenceI
@@ -114,9 +115,13 @@
   void moveSlots(const View& aView, const std::map<SlotKey, Place>& aPlaces);
   TimePoint quorumLease(TimePoint aNow) const;
   bool sameViewIn(const std::string& aDataCentre, TimePoint aNow) const;
-  bool elsewhereMoved(const Held& aHeld,
-                      const Slot& aSlot,
+  bool elsewhereMoved(bool aFresh,
+                      const std::vector<Earlier>& aEarlier,
                       TimePoint aNow) const;
+  bool hasWaited(Held& aHeld,
+                 const std::vector<Earlier>& aEarlier,
+                 TimePoint aNow) const;
+  void forgetHistory(bool aClose);
   bool earlierSettled(Slot& aSlot) const;
   void renewLease(TimePoint aNow);
   void openSlots(TimePoint aNow);
@@ -133,7 +138,7 @@
   ViewId m_leaseView; ///< view of the latest quorum
   bool m_leased = false;
   TimePoint m_leaseEnd{ Duration::min() };
-  TimePoint m_historyFrom{ Duration::max() }; ///< earlier holders known since
+  Held m_history; ///< open when all earlier holders that may send are known
   Duration m_longestLease{ 0 };
   Duration m_longestDeadline{ 0 };
 
--- a/tests/rights_test.cpp
+++ b/tests/rights_test.cpp
@@ -193,7 +193,7 @@
         return violation;
       }
     }
-    return moves < 12 ? "the holders of slots hardly changed" : "";
+    return {};
   }
 
   static constexpr int kFaultSteps = 6000;
@@ -275,40 +275,62 @@
 
   void faults()
   {
+    const TimePoint now = m_clock.now();
+    if (now >= m_nextEpisode) {
+      startEpisode();
+      m_nextEpisode = now + milliseconds(6000 + pick(12000));
+    }
+    if (now >= m_nextChange) {
+      m_nextChange = now + milliseconds(300 + pick(10000));
+      if (chance(0.4)) {
+        m_rules.push_back(testRules(
+          m_centres, chance(0.6) ? m_centres[pick(4)] : std::string()));
+      } else {
+        publishList();
+      }
+    }
     const std::size_t i = pick(m_nodes.size());
-    if (chance(0.02)) {
+    if (chance(0.005)) {
       m_nodes[i].pausedUntil = later(6000);
     }
-    if (chance(0.01)) {
-      m_nodes[i].staleUntil = later(15000);
-    }
-    if (chance(0.003)) {
+    if (chance(0.002)) {
       restart(i);
     }
-    if (chance(0.02)) {
-      m_cuts[{ m_names[i], m_names[pick(m_names.size())] }] = later(10000);
+    if (chance(0.004)) {
+      m_cuts[{ m_names[i], m_names[pick(m_names.size())] }] = later(8000);
     }
-    if (chance(0.01)) {
-      m_cuts[{ m_centres[pick(4)], m_centres[pick(4)] }] = later(10000);
+  }
+
+  /// Cuts part of a data centre, or whole ones, off from the rest. One of the
+  /// sides reads an old list and old rules; some hosts pause or restart.
+  void startEpisode()
+  {
+    const char centre = m_centres[pick(4)][0];
+    const char other = chance(0.3) ? m_centres[pick(4)][0] : centre;
+    const bool whole = chance(0.4);
+    const bool insideIsStale = chance(0.6);
+    const TimePoint until = later(9000) + milliseconds(4000);
+    std::vector<bool> inside;
+    for (const std::string& name : m_names) {
+      inside.push_back((name[0] == centre || name[0] == other) &&
+                       (whole || chance(0.5)));
     }
-    // A group cut off from the rest of its data centre, reading old lists.
-    if (chance(0.008)) {
-      for (std::size_t n = 0; n < m_names.size(); ++n) {
-        if (m_names[n][0] == m_names[i][0] && chance(0.5)) {
-          m_nodes[n].staleUntil = later(15000);
-          for (const std::string& other : m_names) {
-            m_cuts[{ m_names[n], other }] =
-              chance(0.7) ? later(12000) : TimePoint();
-          }
+    m_nextChange = later(1500);
+    for (std::size_t i = 0; i < m_names.size(); ++i) {
+      for (std::size_t j = 0; j < m_names.size(); ++j) {
+        if (inside[i] != inside[j]) {
+          m_cuts[{ m_names[i], m_names[j] }] = until;
         }
       }
-    }
-    if (chance(0.003)) {
-      m_rules.push_back(
-        testRules(m_centres, chance(0.5) ? m_centres[pick(4)] : std::string()));
-    }
-    if (chance(0.005)) {
-      publishList();
+      if (inside[i] == insideIsStale) {
+        m_nodes[i].staleUntil = until;
+      }
+      if (chance(0.1)) {
+        m_nodes[i].pausedUntil = later(6000);
+      }
+      if (chance(0.1)) {
+        restart(i);
+      }
     }
   }
 
@@ -333,9 +355,7 @@
       const auto found = m_cuts.find({ a_, aOther });
       return found != m_cuts.end() && found->second > m_clock.now();
     };
-    return cut(aFrom, aTo) || cut(aTo, aFrom) ||
-           cut(aFrom.substr(0, 1), aTo.substr(0, 1)) ||
-           cut(aTo.substr(0, 1), aFrom.substr(0, 1));
+    return cut(aFrom, aTo) || cut(aTo, aFrom);
   }
 
   void post(std::size_t aFrom, std::size_t aTo, Message aMessage)
@@ -388,7 +408,7 @@
       if (message.isAck) {
         node.rights->onProbeAcked(message.state, message.sentAt);
         // Gossip passes views on, at times late.
-        if (m_quiet || chance(0.3)) {
+        if (m_quiet || chance(0.1)) {
           adopt(
             node, message.state.view.rules - 1, message.state.view.hosts - 1);
         }
@@ -459,6 +479,8 @@
   std::vector<Running> m_running;
   std::map<std::pair<std::string, std::string>, TimePoint> m_cuts;
   std::map<SlotKey, std::size_t> m_lastUser;
+  TimePoint m_nextEpisode;
+  TimePoint m_nextChange;
   int m_step = 0;
   bool m_quiet = false;
 };
@@ -746,6 +768,8 @@
     std::cout << "property: " << moves << " changes of holder, "
               << 100 * usable / ((last - first + 1L) * Fleet::kSteps * 12)
               << "% of slots usable over all steps\n";
+    // A generator that moves few slots would prove little.
+    CPPUNIT_ASSERT(moves > static_cast<int>(20 * (last - first + 1)));
   }
 };
 
