--- a/src/rights.cpp
+++ b/src/rights.cpp
@@ -284,8 +284,9 @@
   }
 }
 
-/// @returns true when half of the hosts of a data centre named this view
-/// within a lease time, so that no quorum there is left under another view
+/// @returns true when a quorum of a data centre named this view within a lease
+/// time, so that no quorum is left there under another view. Half of the hosts
+/// would do for views with one list; a quorum also meets those of other lists.
 bool
 SendingRights::sameViewIn(const std::string& aDataCentre, TimePoint aNow) const
 {
@@ -303,7 +304,7 @@
               ? 1
               : 0;
   }
-  return 2 * same >= voters;
+  return voters == 0 || 2 * same > voters;
 }
 
 bool
--- a/src/rights_p.h
+++ b/src/rights_p.h
@@ -46,8 +46,8 @@
 /// views, or 2 L + longest deadline + 500 ms after the quorum under the new
 /// view. One L ends the leases of the older view; the second ends the lease
 /// of a holder that kept the slot through a view which this node skipped.
-/// When the earlier holder is in another data centre, half of the hosts there
-/// must name this view too, at the start and at the end of the wait, because
+/// When the earlier holder is in another data centre, a quorum there must name
+/// this view too, at the start and at the end of the wait, because
 /// no quorum here says anything about the leases there.
 ///
 /// Several views in a row: every earlier holder since the last completed
@@ -55,7 +55,7 @@
 /// changes. A returning earlier holder does not wait for itself but for the
 /// holders in between. A started node, and one whose lease lapsed for more than
 /// L or comes back under another view, may have missed holders: all its slots
-/// wait, and every data centre must show half of its hosts under this view. The
+/// wait, and every data centre must show a quorum under this view. The
 /// same holds for slots gained in or soon after a jump over revisions, because
 /// a holder of a skipped view may go on in any data centre.
 class SendingRights final
--- a/tests/rights_test.cpp
+++ b/tests/rights_test.cpp
@@ -692,12 +692,12 @@
     const ViewPtr first = makeView(1, testRules({ "a", "b" }), hosts);
     const ViewPtr next = makeView(2, testRules({ "a", "b" }, "b"), hosts);
     bench.rights.adopt(first);
-    bench.run(kWait + milliseconds(200), { "a2", "b1" }, first);
+    bench.run(kWait + milliseconds(200), { "a2", "b1", "b2" }, first);
     bench.rights.adopt(next);
-    bench.run(2 * kWait, { "a2" }, next);
+    bench.run(2 * kWait, { "a2", "b1" }, next);
     const std::size_t kept = bench.usable(*next);
     CPPUNIT_ASSERT(kept > 0 && kept < bench.held(*next));
-    bench.run(kWait + milliseconds(200), { "a2", "b1" }, next);
+    bench.run(kWait + milliseconds(200), { "a2", "b1", "b2" }, next);
     CPPUNIT_ASSERT_EQUAL(bench.held(*next), bench.usable(*next));
   }
 
