--- a/src/rights_p.h
+++ b/src/rights_p.h
@@ -46,17 +46,18 @@
 /// views, or 2 L + longest deadline + 500 ms after the quorum under the new
 /// view. One L ends the leases of the older view; the second ends the lease
 /// of a holder that kept the slot through a view which this node skipped.
-/// When the earlier holder is in another data centre, half of the hosts there
-/// must name this view too, at the start and at the end of the wait, because
+/// When the earlier holder is in another data centre, a quorum there must name
+/// this view too, at the start and at the end of the wait, because
 /// no quorum here says anything about the leases there.
 ///
 /// Several views in a row: every earlier holder since the last completed
 /// handover must settle, since a holder may have taken no part between two
 /// changes. A returning earlier holder does not wait for itself but for the
-/// holders in between. A lease that lapsed for more than L or comes back under
-/// another view, and a started node, know nothing of the time between: all
-/// slots wait, and all data centres must show half of their hosts under this
-/// view.
+/// holders in between. A started node, and one whose lease lapsed for more than
+/// L or comes back under another view, may have missed holders: all its slots
+/// wait, and every data centre must show a quorum under this view. The
+/// same holds for slots gained in or soon after a jump over revisions, because
+/// a holder of a skipped view may go on in any data centre.
 class SendingRights final
   : public RightsI
   , public PeerEvidenceI
@@ -114,9 +115,13 @@
   void moveSlots(const View& aView, const std::map<SlotKey, Place>& aPlaces);
   TimePoint quorumLease(TimePoint aNow) const;
   bool sameViewIn(const std::string& aDataCentre, TimePoint aNow) const;
-  bool elsewhereMoved(const Held& aHeld,
-                      const Slot& aSlot,
+  bool elsewhereMoved(bool aFresh,
+                      const std::vector<Earlier>& aEarlier,
                       TimePoint aNow) const;
+  bool hasWaited(Held& aHeld,
+                 const std::vector<Earlier>& aEarlier,
+                 TimePoint aNow) const;
+  void forgetHistory(bool aClose);
   bool earlierSettled(Slot& aSlot) const;
   void renewLease(TimePoint aNow);
   void openSlots(TimePoint aNow);
@@ -133,7 +138,7 @@
   ViewId m_leaseView; ///< view of the latest quorum
   bool m_leased = false;
   TimePoint m_leaseEnd{ Duration::min() };
-  TimePoint m_historyFrom{ Duration::max() }; ///< earlier holders known since
+  Held m_history; ///< open when all earlier holders that may send are known
   Duration m_longestLease{ 0 };
   Duration m_longestDeadline{ 0 };
 
