Show that another data centre has moved by one host's lease

Cause: on eight real nodes two of them never gained their slots. A started node waits until a quorum of every data centre names its view, heard within one lease; with one random probe a second that is seldom so at 8 nodes and would take minutes at 70 hosts a data centre. Ruled out: lost acknowledgements (all nodes held leases), views that differ. Change: probe acknowledgements carry the view under which the peer holds a lease. A lease is a quorum, so one such host shows it for its data centre, and the word need not be recent.

--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -73,9 +73,11 @@
 PeerState
 ControlCore::state() const
 {
-  return {
-    m_identity.host, m_identity.incarnation, m_adopted, m_ports.settled()
-  };
+  return { m_identity.host,
+           m_identity.incarnation,
+           m_adopted,
+           m_ports.settled(),
+           m_ports.leased() };
 }
 
 ConfigDigest
--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -32,6 +32,8 @@
     PeerEvidenceI& evidence;
     /// @returns the view since which no older request runs; see PeerState
     std::function<ViewId()> settled;
+    /// @returns the view under which this node holds a lease; see PeerState
+    std::function<ViewId()> leased;
     /// @returns queries that run
     std::function<std::uint32_t()> load;
     /// Takes a new view. It may be used for new work only when aReady is set.
--- a/src/control_plane.cpp
+++ b/src/control_plane.cpp
@@ -99,6 +99,7 @@
              *m_platform,
              *this,
              [this] { return m_settled ? m_settled() : ViewId{}; },
+             [this] { return m_leased ? m_leased() : ViewId{}; },
              std::move(aLoad),
              [this](ViewPtr aView, bool aReady) {
                m_known.set(aView);
--- a/src/control_plane_p.h
+++ b/src/control_plane_p.h
@@ -62,6 +62,12 @@
   /// Tells which view is settled, on the control thread; see PeerState. Call
   /// it before init().
   void setSettled(std::function<ViewId()> aSettled) { m_settled = aSettled; }
+  /// Tells under which view this node holds a lease, on the control thread;
+  /// see PeerState. Call it before init().
+  void setLeased(std::function<ViewId()> aLeased) { m_leased = aLeased; }
+  /// Probes faster while the sending rights wait for word from other data
+  /// centres. Call it on the control thread.
+  void setEager(bool aEager) { m_core.membership().setEager(aEager); }
   /// Called on the control thread with each view that new work may use, before
   /// it is published to traffic. Call it before init().
   void setOnView(std::function<void(const ViewPtr&)> aOnView)
@@ -117,6 +123,7 @@
   ViewHolder m_known; ///< newest view, also before the node is ready
   PeerEvidenceI* m_evidence = nullptr;
   std::function<ViewId()> m_settled;
+  std::function<ViewId()> m_leased;
   std::function<void(const ViewPtr&)> m_onView;
   std::unique_ptr<PlatformOnControl> m_platform;
   GossipSocket m_socket;
--- a/src/gossip_wire_p.h
+++ b/src/gossip_wire_p.h
@@ -117,6 +117,7 @@
   std::uint32_t load = 0; ///< queries that run at the node
   ViewId view;
   ViewId settled;
+  ViewId leased;
   ConfigDigest digest;
   std::vector<MemberUpdate> updates;
   std::vector<BroadcastItem> items;
@@ -129,7 +130,8 @@
     wireShortText(aArchive, to);
     wireShortText(aArchive, target);
     aArchive(incarnation, refutation, leaving, load);
-    aArchive(view.rules, view.hosts, settled.rules, settled.hosts, digest);
+    aArchive(view.rules, view.hosts, settled.rules, settled.hosts);
+    aArchive(leased.rules, leased.hosts, digest);
     wireList(aArchive, updates);
     wireList(aArchive, items);
   }
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -123,8 +123,8 @@
   }
   if (now >= m_nextProbe) {
     probeNext();
-    m_nextProbe =
-      now + (m_joining ? m_settings.joinProbeEvery : m_settings.probeEvery);
+    m_nextProbe = now + (m_joining || m_eager ? m_settings.joinProbeEvery
+                                              : m_settings.probeEvery);
   }
   if (now >= m_nextLease) {
     probeForLease();
@@ -367,6 +367,7 @@
   message.load = m_local.load();
   message.view = state.view;
   message.settled = state.settled;
+  message.leased = state.leased;
   message.digest = m_local.digest();
   return message;
 }
@@ -491,8 +492,12 @@
   m_probes.erase(probe);
   m_failedInRow = 0;
   m_counters.indirectAcks += aRelayed ? 1 : 0;
-  m_evidence.onProbeAcked(
-    { host, aMessage.incarnation, aMessage.view, aMessage.settled }, sentAt);
+  m_evidence.onProbeAcked({ host,
+                            aMessage.incarnation,
+                            aMessage.view,
+                            aMessage.settled,
+                            aMessage.leased },
+                          sentAt);
 }
 
 void
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -102,6 +102,8 @@
   void setLease(std::chrono::milliseconds aLease);
   /// A starting node probes faster.
   void setJoining(bool aJoining) { m_joining = aJoining; }
+  /// So does one that waits for word from other data centres.
+  void setEager(bool aEager) { m_eager = aEager; }
 
   /// Does what is due; call it every 50 ms or more often.
   void tick();
@@ -217,6 +219,7 @@
   TimePoint m_confirmsSince;
   bool m_leaving = false;
   bool m_joining = true;
+  bool m_eager = false;
   Duration m_leaseEvery{ std::chrono::seconds(1) };
   TimePoint m_lastTick;
   TimePoint m_nextProbe;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -165,6 +165,7 @@
   }
   plane.setEvidence(&rights);
   plane.setSettled([this] { return slots.settled(); });
+  plane.setLeased([this] { return rights.leased(); });
   plane.setOnView([this](const ViewPtr& aView) { rights.adopt(aView); });
   error = plane.init();
   if (error) {
@@ -378,6 +379,7 @@
 Node::Impl::tickRights()
 {
   rights.tick();
+  plane.setEager(rights.wantsEvidence());
   rightsTimer.expires_after(kRightsTick);
   rightsTimer.async_wait([this](const boost::system::error_code& aError) {
     if (!aError && !stopping) {
--- a/src/peer_state_p.h
+++ b/src/peer_state_p.h
@@ -18,6 +18,7 @@
   std::uint64_t incarnation = 0; ///< rises with each start of the process
   ViewId view;                   ///< the view the peer has adopted
   ViewId settled; ///< no request under an older view is in flight or will start
+  ViewId leased;  ///< the view under which it holds a lease, zeros without one
 };
 
 /// Takes evidence from the membership module; called on the control thread.
--- a/src/rights.cpp
+++ b/src/rights.cpp
@@ -181,12 +181,26 @@
       (aPeer.incarnation == ack.incarnation && aSentAt < ack.sentAt)) {
     return;
   }
-  ack = { aPeer.incarnation, aPeer.view, aPeer.settled, aSentAt };
+  ack = { aPeer.incarnation, aPeer.view, aPeer.settled, aPeer.leased, aSentAt };
   const TimePoint now = m_clock.now();
   renewLease(now);
   openSlots(now);
 }
 
+ViewId
+SendingRights::leased() const
+{
+  return m_leased && m_leaseEnd > m_clock.now() ? m_leaseView : kNoView;
+}
+
+bool
+SendingRights::wantsEvidence() const
+{
+  return std::any_of(m_held.begin(), m_held.end(), [](const auto& aEntry) {
+    return !aEntry.second.open && !aEntry.second.waiting;
+  });
+}
+
 void
 SendingRights::tick()
 {
@@ -284,33 +298,32 @@
   }
 }
 
-/// @returns true when a quorum of a data centre named this view within a lease
-/// time, so that no quorum is left there under another view. Half of the hosts
-/// would do for views with one list; a quorum also meets those of other lists.
+/// @returns true when a quorum of a data centre has named this view, so that no
+/// quorum is left there under an older one. One host that holds a lease under
+/// this view shows it: its lease is that quorum. Hearing the majority itself
+/// would take minutes at 70 hosts a data centre and one random probe a second.
+/// The word need not be recent: hosts go back to an older view only by a
+/// restart, and a restarted host itself waits for every data centre.
 bool
-SendingRights::sameViewIn(const std::string& aDataCentre, TimePoint aNow) const
+SendingRights::sameViewIn(const std::string& aDataCentre) const
 {
-  std::size_t voters = 0;
-  std::size_t same = 0;
+  bool empty = true;
   for (const Host& host : m_view->hosts.hosts) {
     if (host.dataCentre != aDataCentre || !isVoter(*m_view, host)) {
       continue;
     }
-    ++voters;
+    empty = false;
     const auto ack = m_acks.find(host.name);
-    same += ack != m_acks.end() && ack->second.view == m_view->id &&
-                ack->second.settled != kNoView &&
-                ack->second.sentAt + m_view->rules->rights.lease > aNow
-              ? 1
-              : 0;
+    if (ack != m_acks.end() && ack->second.leased.covers(m_view->id)) {
+      return true;
+    }
   }
-  return voters == 0 || 2 * same > voters;
+  return empty;
 }
 
 bool
 SendingRights::elsewhereMoved(bool aFresh,
-                              const std::vector<Earlier>& aEarlier,
-                              TimePoint aNow) const
+                              const std::vector<Earlier>& aEarlier) const
 {
   std::set<std::string> elsewhere;
   if (aFresh) {
@@ -324,7 +337,7 @@
   elsewhere.erase(m_dataCentre);
   return std::all_of(
     elsewhere.begin(), elsewhere.end(), [&](const std::string& aName) {
-      return sameViewIn(aName, aNow);
+      return sameViewIn(aName);
     });
 }
 
@@ -354,7 +367,7 @@
   if (aHeld.waiting && aNow < aHeld.waitStart + handoverWait()) {
     return false;
   }
-  if (!elsewhereMoved(aHeld.fresh, aEarlier, aNow)) {
+  if (!elsewhereMoved(aHeld.fresh, aEarlier)) {
     return false;
   }
   if (!aHeld.waiting) {
--- a/src/rights_p.h
+++ b/src/rights_p.h
@@ -76,6 +76,11 @@
   /// every 100 ms.
   void tick();
 
+  /// @returns the view under which this node holds a lease, zeros without one
+  ViewId leased() const;
+  /// @returns true while a slot waits for word from another data centre
+  bool wantsEvidence() const;
+
   /// Any thread; never waits for the control thread.
   bool mayUse(const SlotKey& aKey) const override;
 
@@ -86,6 +91,7 @@
     std::uint64_t incarnation = 0;
     ViewId view;
     ViewId settled;
+    ViewId leased;
     TimePoint sentAt;
   };
   struct Place
@@ -114,10 +120,8 @@
 
   void moveSlots(const View& aView, const std::map<SlotKey, Place>& aPlaces);
   TimePoint quorumLease(TimePoint aNow) const;
-  bool sameViewIn(const std::string& aDataCentre, TimePoint aNow) const;
-  bool elsewhereMoved(bool aFresh,
-                      const std::vector<Earlier>& aEarlier,
-                      TimePoint aNow) const;
+  bool sameViewIn(const std::string& aDataCentre) const;
+  bool elsewhereMoved(bool aFresh, const std::vector<Earlier>& aEarlier) const;
   bool hasWaited(Held& aHeld,
                  const std::vector<Earlier>& aEarlier,
                  TimePoint aNow) const;
--- a/tests/control_fleet.h
+++ b/tests/control_fleet.h
@@ -65,6 +65,7 @@
                *this,
                *this,
                [] { return ViewId{}; },
+               [] { return ViewId{}; },
                [] { return 0U; },
                [this](const ViewPtr& aView, bool aReady) {
                  if (aReady) {
