Send each backend request at most once from the adapter

cpprestsdk sends a request again by itself when a reused connection is closed after the server has read the request. The new test saw 3 requests for 2 calls. The body is now a stream without seek, which the library can't replay, for every class and for empty bodies.

Also found by the new tests: a reply with a foreign Request-Id or Attempt still delivered its body and its connection was pooled; a slot could have 3 connections open, as a client was kept after a cancelled connect. The connection is now closed before Done and the slot's client is dropped after every failure.

NotRun rests on the library's message for a failed connect, because code 113 is also the errno of an open connection that becomes unreachable. Verified for a closed port (not run), an accepted and closed connection (lost) and a hanging connect (timed out). Connections idle for over 2 s are not reused.

--- a/src/backend_http.cpp
+++ b/src/backend_http.cpp
@@ -1,10 +1,12 @@
 #include "backend_http_p.h"
 
+#include <cstring>
 #include <map>
 #include <mutex>
 
 #include <boost/asio/steady_timer.hpp>
 #include <cpprest/http_client.h>
+#include <cpprest/producerconsumerstream.h>
 
 namespace toucanridge {
 namespace {
@@ -13,9 +15,21 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// cpprestsdk reports every failed connect as this value, whatever the errno
-// of the socket was.
-constexpr int kConnectFailed = 113;
+// The text, not the code, of cpprestsdk's error tells a failed connect from a
+// failure of an open connection: it maps a refused connect to EHOSTUNREACH,
+// which reading from an open connection can also report. Any other text counts
+// as "may have run".
+constexpr const char* kConnectFailed =
+  "Failed to connect to any resolved endpoint";
+
+/// A connection that was idle for longer is replaced instead of reused. A
+/// server may have closed it, and the request would end as "may have run"
+/// without having run. Common keep-alive limits start at 5 s.
+constexpr std::chrono::seconds kMaxIdle{ 2 };
+
+/// Longer than any deadline of a class, so that the deadline ends a request
+/// and not cpprestsdk's default of 30 s.
+constexpr std::chrono::seconds kLibraryTimeout{ 120 };
 
 constexpr std::uint16_t kNoSnapshotStatus = 409;
 constexpr std::uint16_t kUnavailableStatus = 503;
@@ -28,6 +42,26 @@
   return value;
 }
 
+/// Sets a body that can be read only once. When a server closes a reused
+/// connection after it has read the request, cpprestsdk rewinds the body and
+/// sends the request again on a new connection. It can't do so with a stream
+/// that has no seek, and reports the error instead.
+void
+setBody(http::http_request& aRequest, const std::string& aBody)
+{
+  const concurrency::streams::producer_consumer_buffer<std::uint8_t> buffer;
+  auto writable = buffer;
+  if (!aBody.empty()) {
+    writable
+      .putn_nocopy(reinterpret_cast<const std::uint8_t*>(aBody.data()),
+                   aBody.size())
+      .wait();
+  }
+  writable.close(std::ios_base::out).wait();
+  aRequest.set_body(
+    writable.create_istream(), aBody.size(), "text/plain; charset=utf-8");
+}
+
 http::http_request
 makeRequest(const BackendCall& aCall)
 {
@@ -40,7 +74,7 @@
   headers.add("Snapshot", aCall.snapshot);
   headers.add("Deadline-Ms", left.count());
   headers.add("Deadline-At", (unixTime() + left).count());
-  request.set_body(aCall.body);
+  setBody(request, aCall.body);
   return request;
 }
 
@@ -90,6 +124,12 @@
   };
   using RunningPtr = std::shared_ptr<Running>;
   using ClientPtr = std::shared_ptr<http::client::http_client>;
+  /// The client of a slot, and when its last request ended.
+  struct Pooled
+  {
+    ClientPtr client;
+    TimePoint lastUsed;
+  };
 
   explicit State(boost::asio::io_context& aContext)
     : context(aContext)
@@ -98,32 +138,47 @@
 
   boost::asio::io_context& context;
   std::mutex mutex; ///< guards what follows
-  std::map<SlotKey, ClientPtr> clients;
+  std::map<SlotKey, Pooled> clients;
   std::map<std::uint64_t, RunningPtr> running;
   std::uint64_t nextHandle = 1;
 
   ClientPtr client(const SlotKey& aKey)
   {
-    ClientPtr& found = clients[aKey];
-    if (!found) {
-      found = std::make_shared<http::client::http_client>(
-        web::uri("http://" + aKey.server));
+    Pooled& found = clients[aKey];
+    const TimePoint now = SystemClock().now();
+    if (!found.client || now - found.lastUsed > kMaxIdle) {
+      http::client::http_client_config config;
+      config.set_timeout(kLibraryTimeout);
+      found.client = std::make_shared<http::client::http_client>(
+        web::uri("http://" + aKey.server), config);
+      found.lastUsed = now;
     }
-    return found;
+    return found.client;
   }
 
-  /// Ends the bookkeeping of a request. After a failure the slot's client is
-  /// dropped, which closes its connections: one of them may be silent.
-  void ended(std::uint64_t aHandle, const SlotKey& aKey, SubStatus aStatus)
+  /// Ends the bookkeeping of a request. After a failure its connection is
+  /// closed and the slot's client is dropped, so that neither a silent
+  /// connection nor one with a stray reply is used again.
+  /// @param[in] aFailed the library reported an error, or the reply is void
+  void ended(std::uint64_t aHandle, const SlotKey& aKey, bool aFailed)
   {
-    const std::lock_guard<std::mutex> lock(mutex);
-    const auto found = running.find(aHandle);
-    if (found != running.end()) {
-      found->second->timer.cancel();
-      running.erase(found);
+    RunningPtr ending;
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      const auto found = running.find(aHandle);
+      if (found != running.end()) {
+        ending = found->second;
+        ending->timer.cancel();
+        running.erase(found);
+      }
+      if (aFailed) {
+        clients.erase(aKey);
+      } else {
+        clients[aKey].lastUsed = SystemClock().now();
+      }
     }
-    if (aStatus == SubStatus::Lost || aStatus == SubStatus::TimedOut) {
-      clients.erase(aKey);
+    if (aFailed && ending) {
+      ending->cancel.cancel();
     }
   }
 };
@@ -159,16 +214,23 @@
   const auto reply = std::make_shared<BackendReply>();
   const auto started = SystemClock().now();
   client->request(makeRequest(*call), running->cancel.get_token())
-    .then([call, reply](const http::http_response& aResponse) {
+    .then([call, reply, running](const http::http_response& aResponse) {
       *reply = readReply(aResponse, *call);
+      if (reply->status == SubStatus::Lost) {
+        // Closes the connection before the library can pool it.
+        running->cancel.cancel();
+        return pplx::task_from_result(std::string());
+      }
       return aResponse.extract_utf8string(true);
     })
-    .then([state, running, client, handle, call, reply, started, aDone](
+    .then([state, running, handle, call, reply, started, aDone](
             const pplx::task<std::string>& aBody) {
+      bool failed = true;
       try {
         reply->body = aBody.get();
+        failed = reply->status == SubStatus::Lost || running->timedOut;
       } catch (const http::http_exception& error) {
-        const bool unconnected = error.error_code().value() == kConnectFailed;
+        const bool unconnected = std::strcmp(error.what(), kConnectFailed) == 0;
         reply->status = unconnected ? SubStatus::NotRun : SubStatus::Lost;
         reply->error = Errc::Unreachable;
       } catch (const std::exception&) {
@@ -180,7 +242,7 @@
         reply->error = Errc::TimedOut;
       }
       reply->latency = SystemClock().now() - started;
-      state->ended(handle, call->key, reply->status);
+      state->ended(handle, call->key, failed);
       aDone(std::move(*reply));
     });
   return handle;
--- a/src/backend_http_p.h
+++ b/src/backend_http_p.h
@@ -10,8 +10,9 @@
 namespace toucanridge {
 
 /// The adapter to backend servers: HTTP by cpprestsdk, one client object a
-/// slot. cpprestsdk keeps at most two connections for a client that has one
-/// request in flight, so a node opens at most two connections a slot.
+/// slot. A slot has at most two connections: one in use, and one that is being
+/// closed. No request is sent twice by the library, and NotRun is reported only
+/// when no connection could be made or when the server said so.
 class BackendHttp final : public BackendI
 {
 public:
--- /dev/null
+++ b/tests/backend_http_test.cpp
@@ -0,0 +1,280 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <future>
+#include <thread>
+
+#include <boost/asio.hpp>
+
+#include "backend_http_p.h"
+#include "script_server.h"
+
+using namespace toucanridge;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+/// Share of one slot, see BackendHttp.
+constexpr std::size_t kShare = 2;
+constexpr const char* kAddress = "127.62.1.1";
+
+template<class Condition>
+bool
+waitFor(Condition aCondition, milliseconds aLimit = milliseconds(2000))
+{
+  const auto limit = steady_clock::now() + aLimit;
+  while (!aCondition()) {
+    if (steady_clock::now() > limit) {
+      return false;
+    }
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  return true;
+}
+
+} // namespace
+
+class BackendHttpTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(BackendHttpTest);
+  CPPUNIT_TEST(sendsOnceWhenReusedConnectionCloses);
+  CPPUNIT_TEST(saysNotRunOnlyWhenConnectFailed);
+  CPPUNIT_TEST(saysTimedOutWhenConnectHangs);
+  CPPUNIT_TEST(dropsCrossedReplies);
+  CPPUNIT_TEST(replacesSilentConnection);
+  CPPUNIT_TEST(cancelClosesConnection);
+  CPPUNIT_TEST(keepsConnectionShare);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    m_context = std::make_unique<boost::asio::io_context>();
+    m_work = std::make_unique<Guard>(m_context->get_executor());
+    m_backend = std::make_unique<BackendHttp>(*m_context);
+    m_thread = std::thread([this] { m_context->run(); });
+  }
+
+  void tearDown() override
+  {
+    m_work.reset();
+    m_context->stop();
+    m_thread.join();
+    m_backend.reset();
+    m_context.reset();
+  }
+
+  // Guards against a request that the HTTP library sends a second time by
+  // itself when the server closes a reused connection after reading it.
+  void sendsOnceWhenReusedConnectionCloses()
+  {
+    for (const char* body : { "charge 20", "" }) {
+      ScriptServer server(
+        kAddress, [](std::size_t aRequest, const std::string& aHead) {
+          return aRequest == 0 ? Step{ ScriptServer::echo(aHead, "ok") }
+                               : Step{ "", true };
+        });
+      CPPUNIT_ASSERT(SubStatus::Done ==
+                     call(server.name(), milliseconds(1000), body).status);
+      CPPUNIT_ASSERT(SubStatus::Lost ==
+                     call(server.name(), milliseconds(1000), body).status);
+      std::this_thread::sleep_for(milliseconds(50));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), server.requests());
+    }
+  }
+
+  // Guards against a false "not run" for a request that a server has read, and
+  // against a lost request where the port was closed.
+  void saysNotRunOnlyWhenConnectFailed()
+  {
+    std::string closedPort;
+    {
+      ScriptServer server(kAddress, [](std::size_t, const std::string&) {
+        return Step{ "", true };
+      });
+      CPPUNIT_ASSERT(SubStatus::Lost ==
+                     call(server.name(), milliseconds(1000)).status);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), server.requests());
+      closedPort = server.name();
+    }
+    CPPUNIT_ASSERT(SubStatus::NotRun ==
+                   call(closedPort, milliseconds(1000)).status);
+
+    // Accepted, then closed before anything was read.
+    boost::asio::io_context context;
+    using tcp = boost::asio::ip::tcp;
+    tcp::acceptor acceptor(
+      context, tcp::endpoint(boost::asio::ip::make_address(kAddress), 0));
+    std::thread closer([&acceptor] { acceptor.accept().close(); });
+    const BackendReply reply =
+      call(std::string(kAddress) + ":" +
+             std::to_string(acceptor.local_endpoint().port()),
+           milliseconds(1000));
+    closer.join();
+    CPPUNIT_ASSERT(SubStatus::Lost == reply.status);
+  }
+
+  // Guards against a connect that hangs past the deadline.
+  void saysTimedOutWhenConnectHangs()
+  {
+    boost::asio::io_context context;
+    using tcp = boost::asio::ip::tcp;
+    const tcp::endpoint any(boost::asio::ip::make_address(kAddress), 0);
+    tcp::acceptor acceptor(context, any.protocol());
+    acceptor.bind(any);
+    acceptor.listen(0);
+    // A full backlog drops the next connect's SYN.
+    std::vector<std::unique_ptr<tcp::socket>> fill;
+    for (int i = 0; i < 4; ++i) {
+      fill.push_back(std::make_unique<tcp::socket>(context));
+      fill.back()->async_connect(acceptor.local_endpoint(), [](auto) {});
+    }
+    context.run_for(milliseconds(50));
+    const auto start = steady_clock::now();
+    const BackendReply reply =
+      call(std::string(kAddress) + ":" +
+             std::to_string(acceptor.local_endpoint().port()),
+           milliseconds(200));
+    CPPUNIT_ASSERT(SubStatus::TimedOut == reply.status);
+    CPPUNIT_ASSERT(steady_clock::now() - start < milliseconds(1500));
+  }
+
+  // Guards against a reply that is delivered to another request or attempt,
+  // and against reuse of the connection that carried it.
+  void dropsCrossedReplies()
+  {
+    ScriptServer server(
+      kAddress, [](std::size_t aRequest, const std::string& aHead) {
+        switch (aRequest) {
+          case 0:
+            return Step{ ScriptServer::reply("other", "3", "foreign") };
+          case 1:
+            return Step{ ScriptServer::reply("q-1", "2", "old attempt") };
+          case 2:
+            return Step{ ScriptServer::reply("q-1", "", "no attempt") };
+          default:
+            return Step{ ScriptServer::echo(aHead, "own") };
+        }
+      });
+    for (std::size_t i = 1; i <= 3; ++i) {
+      const BackendReply reply = call(server.name(), milliseconds(1000));
+      CPPUNIT_ASSERT(SubStatus::Lost == reply.status);
+      CPPUNIT_ASSERT(Errc::BadMessage == reply.error);
+      CPPUNIT_ASSERT_EQUAL(std::string(), reply.body);
+      CPPUNIT_ASSERT_MESSAGE("connection stays open",
+                             waitFor([&] { return server.open() == 0; }));
+      CPPUNIT_ASSERT_EQUAL(i, server.accepted());
+    }
+    const BackendReply own = call(server.name(), milliseconds(1000));
+    CPPUNIT_ASSERT(SubStatus::Done == own.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("own"), own.body);
+  }
+
+  // Guards against waiting on, or reusing, a connection that carries nothing,
+  // and against a late reply that reaches a later request.
+  void replacesSilentConnection()
+  {
+    ScriptServer server(kAddress,
+                        [](std::size_t aRequest, const std::string& aHead) {
+                          if (aRequest == 1) {
+                            std::this_thread::sleep_for(milliseconds(300));
+                            return Step{ ScriptServer::echo(aHead, "late") };
+                          }
+                          return Step{ ScriptServer::echo(aHead, "ok") };
+                        });
+    CPPUNIT_ASSERT(SubStatus::Done ==
+                   call(server.name(), milliseconds(1000)).status);
+    const auto start = steady_clock::now();
+    CPPUNIT_ASSERT(SubStatus::TimedOut ==
+                   call(server.name(), milliseconds(100)).status);
+    CPPUNIT_ASSERT(steady_clock::now() - start < milliseconds(280));
+    const BackendReply next = call(server.name(), milliseconds(1000));
+    CPPUNIT_ASSERT(SubStatus::Done == next.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), next.body);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), server.accepted());
+  }
+
+  // Guards against a server that goes on working for a cancelled request.
+  void cancelClosesConnection()
+  {
+    ScriptServer server(kAddress,
+                        [](std::size_t, const std::string&) { return Step{}; });
+    std::promise<BackendReply> ended;
+    const std::uint64_t handle = m_backend->send(
+      makeCall(server.name(), milliseconds(5000), "x"),
+      [&](BackendReply aReply) { ended.set_value(std::move(aReply)); });
+    CPPUNIT_ASSERT(waitFor([&] { return server.requests() == 1; }));
+    m_backend->cancel(handle);
+    auto future = ended.get_future();
+    CPPUNIT_ASSERT(future.wait_for(milliseconds(1000)) ==
+                   std::future_status::ready);
+    CPPUNIT_ASSERT(SubStatus::Lost == future.get().status);
+    CPPUNIT_ASSERT(waitFor([&] { return server.open() == 0; }));
+  }
+
+  // Guards against a slot that opens more connections than its share when its
+  // requests time out, break or carry crossed replies.
+  void keepsConnectionShare()
+  {
+    ScriptServer server(
+      kAddress, [](std::size_t aRequest, const std::string& aHead) {
+        switch (aRequest % 5) {
+          case 1:
+            return Step{};
+          case 2:
+            return Step{ "", true };
+          case 3:
+            return Step{ ScriptServer::reply("other", "3", "foreign") };
+          default:
+            return Step{ ScriptServer::echo(aHead, "ok") };
+        }
+      });
+    for (int i = 0; i < 100; ++i) {
+      call(server.name(), milliseconds(20));
+    }
+    CPPUNIT_ASSERT(server.requests() >= 90);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(server.peakOpen()),
+                           server.peakOpen() <= kShare);
+  }
+
+private:
+  using Step = ScriptServer::Step;
+  using Guard =
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+
+  static BackendCall makeCall(const std::string& aServer,
+                              milliseconds aTimeLeft,
+                              const std::string& aBody)
+  {
+    BackendCall made;
+    made.key = { aServer, 0 };
+    made.service = "vault/all";
+    made.requestId = "q-1";
+    made.attempt = 3;
+    made.snapshot = 7;
+    made.idempotent = false;
+    made.timeLeft = aTimeLeft;
+    made.body = aBody;
+    return made;
+  }
+
+  BackendReply call(const std::string& aServer,
+                    milliseconds aTimeLeft,
+                    const std::string& aBody = "x")
+  {
+    std::promise<BackendReply> ended;
+    auto future = ended.get_future();
+    m_backend->send(
+      makeCall(aServer, aTimeLeft, aBody),
+      [&](BackendReply aReply) { ended.set_value(std::move(aReply)); });
+    return future.get();
+  }
+
+  std::unique_ptr<boost::asio::io_context> m_context;
+  std::unique_ptr<Guard> m_work;
+  std::unique_ptr<BackendHttp> m_backend;
+  std::thread m_thread;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BackendHttpTest);
