Run requests with tickets at most once

Adds tickets: issue, records with stored answers, forwarding to the issuer, and a client that gets tickets by itself and resends with the same one. A non-idempotent query without a ticket is refused as not-run.

Answers of not-run are stored as final: a fresh record after not-run would let a late copy of the request run after the caller was told otherwise. A node that isn't the issuer never says not-run.

The client told a broken connection from a failed connect by code 113, which an open connection can also report; it now compares the message.

A SubReply with a status out of range is refused in decoding: it was taken as safe to retry.

--- a/src/caller_api_p.h
+++ b/src/caller_api_p.h
@@ -38,6 +38,8 @@
   /// @param[in] aDataCentre the caller's nearest data centre, may be empty
   virtual AddressAnswer addresses(const std::string& aDataCentre) = 0;
   virtual void query(QueryRequest aRequest, Done aDone) = 0;
+  /// @returns new tickets issued by this node, fewer than asked for at most
+  virtual std::vector<std::string> tickets(std::uint32_t aCount) = 0;
   /// @returns the node's status as JSON text
   virtual std::string statusJson() = 0;
   /// @returns metrics in the text exposition format
--- a/src/caller_http.cpp
+++ b/src/caller_http.cpp
@@ -1,5 +1,7 @@
 #include "caller_http_p.h"
 
+#include <charconv>
+
 #include <cpprest/http_listener.h>
 #include <cpprest/json.h>
 
@@ -96,6 +98,34 @@
   return body;
 }
 
+json::value
+ticketsJson(const std::vector<std::string>& aTickets)
+{
+  std::vector<json::value> list;
+  for (const std::string& ticket : aTickets) {
+    list.push_back(json::value::string(ticket));
+  }
+  return json::value::array(list);
+}
+
+/// @returns a small number of the URI's query; 0 when it is malformed
+std::uint32_t
+countOf(const std::map<std::string, std::string>& aQuery,
+        const char* aName,
+        std::uint32_t aDefault)
+{
+  const auto found = aQuery.find(aName);
+  if (found == aQuery.end()) {
+    return aDefault;
+  }
+  const std::string& text = found->second;
+  std::uint32_t value = 0;
+  const auto [end, error] =
+    std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool whole = error == std::errc() && end == text.data() + text.size();
+  return whole ? value : 0;
+}
+
 /// Reads the JSON of a query.
 /// @throws json::json_exception on a missing or mistyped field
 QueryRequest
@@ -136,6 +166,7 @@
   void dispatch(const http::http_request& aRequest);
   void addresses(const http::http_request& aRequest);
   void query(const http::http_request& aRequest);
+  void tickets(const http::http_request& aRequest);
   void status(const http::http_request& aRequest);
   void metrics(const http::http_request& aRequest);
 
@@ -146,6 +177,7 @@
 const CallerHttp::Impl::Entry CallerHttp::Impl::kRoutes[] = {
   { "GET", "/v1/addresses", &Impl::addresses },
   { "POST", "/v1/query", &Impl::query },
+  { "POST", "/v1/tickets", &Impl::tickets },
   { "GET", "/v1/status", &Impl::status },
   { "GET", "/metrics", &Impl::metrics },
 };
@@ -177,7 +209,26 @@
   const auto dataCentre = query.find("data_centre");
   const AddressAnswer answer = api.addresses(
     dataCentre == query.end() ? std::string() : dataCentre->second);
-  aRequest.reply(http::status_codes::OK, toJson(answer));
+  json::value body = toJson(answer);
+  const std::uint32_t count = countOf(query, "tickets", 0);
+  if (count > 0) {
+    body["tickets"] = ticketsJson(api.tickets(count));
+  }
+  aRequest.reply(http::status_codes::OK, body);
+}
+
+void
+CallerHttp::Impl::tickets(const http::http_request& aRequest)
+{
+  const auto query = web::uri::split_query(aRequest.relative_uri().query());
+  const std::uint32_t count = countOf(query, "count", 1);
+  if (count == 0) {
+    refuse(aRequest, http::status_codes::BadRequest, "malformed count");
+    return;
+  }
+  json::value body = json::value::object();
+  body["tickets"] = ticketsJson(api.tickets(count));
+  aRequest.reply(http::status_codes::OK, body);
 }
 
 void
--- a/src/client_http.cpp
+++ b/src/client_http.cpp
@@ -1,5 +1,7 @@
 #include "client_http_p.h"
 
+#include <algorithm>
+
 #include <cpprest/http_client.h>
 #include <cpprest/json.h>
 
@@ -16,8 +18,14 @@
 constexpr milliseconds kLongestQuery{ 61000 };
 /// How long the answer may take beyond the deadline that was sent.
 constexpr milliseconds kAnswerGrace{ 1000 };
-// cpprestsdk reports every failed connect as this value.
-constexpr int kConnectFailed = 113;
+// cpprestsdk's message for a failed connect; its code doesn't tell it from a
+// connection that broke later.
+constexpr const char* kConnectFailed =
+  "Failed to connect to any resolved endpoint";
+/// Tickets asked for at once; a batch saves a round trip for each query.
+constexpr int kTicketBatch = 8;
+/// Tickets are used within this time; the issuer refuses them after 120 s.
+constexpr std::chrono::seconds kTicketUse{ 60 };
 
 http::client::http_client
 makeClient(const std::string& aAddress, milliseconds aTimeout)
@@ -121,13 +129,12 @@
   for (const std::string& source : sources) {
     try {
       auto client = makeClient(source, kAddressTimeout);
+      std::string path = "/v1/addresses?data_centre=" + m_dataCentre;
+      if (!m_ticketClasses.empty()) {
+        path += "&tickets=" + std::to_string(kTicketBatch);
+      }
       const json::value body =
-        client
-          .request(http::methods::GET,
-                   "/v1/addresses?data_centre=" + m_dataCentre)
-          .get()
-          .extract_json(true)
-          .get();
+        client.request(http::methods::GET, path).get().extract_json(true).get();
       std::vector<std::string> found;
       for (const json::value& entry : body.at("addresses").as_array()) {
         found.push_back(entry.at("address").as_string() + ":" +
@@ -135,6 +142,8 @@
       }
       if (!found.empty()) {
         m_addresses = std::move(found);
+        m_tickets.clear();
+        keepTickets(body, source);
         m_validUntil =
           steady_clock::now() + milliseconds(numberField(body, "valid_ms"));
         return true;
@@ -146,39 +155,150 @@
   return false;
 }
 
+bool
+Client::takeTicket(QueryRequest& aRequest)
+{
+  if (m_tickets.empty() || steady_clock::now() > m_ticketsUntil) {
+    m_tickets.clear();
+    for (const std::string& address : m_addresses) {
+      try {
+        auto client = makeClient(address, kAddressTimeout);
+        const json::value body =
+          client
+            .request(http::methods::POST,
+                     "/v1/tickets?count=" + std::to_string(kTicketBatch))
+            .get()
+            .extract_json(true)
+            .get();
+        keepTickets(body, address);
+      } catch (const std::exception&) {
+        continue;
+      }
+      if (!m_tickets.empty()) {
+        break;
+      }
+    }
+  }
+  if (m_tickets.empty()) {
+    return false;
+  }
+  aRequest.ticket = std::move(m_tickets.back());
+  m_tickets.pop_back();
+  return true;
+}
+
+void
+Client::keepTickets(const json::value& aBody, const std::string& aIssuer)
+{
+  if (!aBody.has_array_field("tickets")) {
+    return;
+  }
+  for (const json::value& ticket : aBody.at("tickets").as_array()) {
+    m_tickets.push_back(ticket.as_string());
+  }
+  m_ticketIssuer = aIssuer;
+  m_ticketsUntil = steady_clock::now() + kTicketUse;
+}
+
+Client::Sent
+Client::sendOnce(const std::string& aAddress,
+                 const QueryRequest& aRequest,
+                 milliseconds aTimeout,
+                 QueryAnswer& aAnswer)
+{
+  try {
+    auto client = makeClient(aAddress, aTimeout);
+    const json::value body =
+      client.request(http::methods::POST, "/v1/query", toJson(aRequest))
+        .get()
+        .extract_json(true)
+        .get();
+    aAnswer = parseAnswer(body);
+    return Sent::Answered;
+  } catch (const http::http_exception& error) {
+    aAnswer.reason = error.what();
+    return aAnswer.reason == kConnectFailed ? Sent::Never : Sent::Broken;
+  } catch (const std::exception& error) {
+    aAnswer.reason = error.what();
+    return Sent::Broken;
+  }
+}
+
+/// Sends a query to one address after another until one answers. This is safe
+/// for every class: with a ticket the system runs it once, and without one it
+/// refuses a class that must not run twice.
+QueryAnswer
+Client::sendAnywhere(QueryRequest aRequest, steady_clock::time_point aLimit)
+{
+  std::vector<std::string> addresses = m_addresses;
+  if (!aRequest.ticket.empty()) {
+    // The issuer needs no hop to itself.
+    const auto issuer =
+      std::find(addresses.begin(), addresses.end(), m_ticketIssuer);
+    if (issuer != addresses.end()) {
+      std::rotate(addresses.begin(), issuer, issuer + 1);
+    }
+  }
+  const bool bounded = aRequest.deadline.count() > 0;
+  bool mayHaveRun = false;
+  QueryAnswer answer;
+  answer.reason = "no entry host could be reached";
+  for (const std::string& address : addresses) {
+    const auto left =
+      std::chrono::duration_cast<milliseconds>(aLimit - steady_clock::now());
+    if (left <= milliseconds(0)) {
+      break;
+    }
+    if (bounded) {
+      aRequest.deadline = left;
+    }
+    QueryAnswer got;
+    const Sent sent =
+      sendOnce(address, aRequest, bounded ? left + kAnswerGrace : left, got);
+    if (sent == Sent::Answered) {
+      const bool issuerAway =
+        !aRequest.ticket.empty() && got.outcome == Outcome::Unknown &&
+        got.reason == make_error_code(Errc::Unreachable).message();
+      if (!issuerAway) {
+        // Without a ticket a refusal speaks only of this attempt.
+        if (mayHaveRun && aRequest.ticket.empty() &&
+            got.outcome == Outcome::NotRun) {
+          got.outcome = Outcome::Unknown;
+        }
+        return got;
+      }
+    }
+    answer.reason = got.reason;
+    mayHaveRun = mayHaveRun || sent != Sent::Never;
+    m_validUntil = {};
+  }
+  answer.outcome = mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+  return answer;
+}
+
 QueryAnswer
 Client::query(const QueryRequest& aRequest)
 {
   QueryAnswer answer;
   answer.reason = "no entry host could be reached";
+  const auto limit =
+    steady_clock::now() +
+    (aRequest.deadline.count() > 0 ? aRequest.deadline : kLongestQuery);
   if (!refreshAddresses()) {
     return answer;
   }
-  const milliseconds timeout = aRequest.deadline.count() > 0
-                                 ? aRequest.deadline + kAnswerGrace
-                                 : kLongestQuery;
-  const std::vector<std::string> addresses = m_addresses;
-  for (const std::string& address : addresses) {
-    try {
-      auto client = makeClient(address, timeout);
-      const json::value body =
-        client.request(http::methods::POST, "/v1/query", toJson(aRequest))
-          .get()
-          .extract_json(true)
-          .get();
-      return parseAnswer(body);
-    } catch (const http::http_exception& error) {
-      if (error.error_code().value() == kConnectFailed) {
-        m_validUntil = {};
-        continue;
-      }
-      answer.outcome = Outcome::Unknown;
-      answer.reason = error.what();
-      return answer;
-    } catch (const std::exception& error) {
-      answer.outcome = Outcome::Unknown;
-      answer.reason = error.what();
-      return answer;
+  QueryRequest request = aRequest;
+  const bool needsTicket = m_ticketClasses.count(request.queryClass) != 0;
+  if (request.ticket.empty() && needsTicket && !takeTicket(request)) {
+    answer.reason = "no ticket could be had";
+    return answer;
+  }
+  answer = sendAnywhere(request, limit);
+  if (request.ticket.empty() && answer.outcome == Outcome::NotRun &&
+      answer.reason == make_error_code(Errc::TicketRequired).message()) {
+    m_ticketClasses.insert(request.queryClass);
+    if (takeTicket(request)) {
+      answer = sendAnywhere(request, limit);
     }
   }
   return answer;
--- a/src/client_http_p.h
+++ b/src/client_http_p.h
@@ -4,6 +4,7 @@
 /// The caller's side: asks for addresses, keeps them, sends queries.
 
 #include <chrono>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,10 @@
 
 #include "caller_api_p.h"
 
+namespace web::json {
+class value;
+}
+
 namespace toucanridge {
 
 /// A caller of the system. Not thread-safe.
@@ -21,22 +26,43 @@
   /// @param[in] aDataCentre the caller's nearest data centre, may be empty
   Client(std::vector<std::string> aEntries, std::string aDataCentre);
 
-  /// Sends a query to one of the addresses that the system named. An
-  /// idempotent query is sent again elsewhere when a connection fails.
-  /// @returns the answer; Outcome::Unknown when a connection broke after the
-  ///          query may have been received
+  /// Sends a query to one of the addresses that the system named, and sends it
+  /// again elsewhere when a connection fails. A class that needs a ticket is
+  /// learnt from the first refusal; its queries get tickets by themselves, and
+  /// resends carry the same one.
+  /// @returns the answer; Outcome::Unknown when no node answered and one may
+  ///          have received the query
   QueryAnswer query(const QueryRequest& aRequest);
 
   /// @returns an entry host's status as JSON text, or the error
   tl::expected<std::string, std::string> status(const std::string& aEntry);
 
 private:
+  enum class Sent
+  {
+    Never, ///< no connection was made
+    Broken,
+    Answered,
+  };
+
   bool refreshAddresses();
+  bool takeTicket(QueryRequest& aRequest);
+  void keepTickets(const web::json::value& aBody, const std::string& aIssuer);
+  static Sent sendOnce(const std::string& aAddress,
+                       const QueryRequest& aRequest,
+                       std::chrono::milliseconds aTimeout,
+                       QueryAnswer& aAnswer);
+  QueryAnswer sendAnywhere(QueryRequest aRequest,
+                           std::chrono::steady_clock::time_point aLimit);
 
   std::vector<std::string> m_entries;
   std::string m_dataCentre;
   std::vector<std::string> m_addresses;
   std::chrono::steady_clock::time_point m_validUntil{};
+  std::set<std::string> m_ticketClasses; ///< classes that need a ticket
+  std::vector<std::string> m_tickets;
+  std::string m_ticketIssuer; ///< address that issued m_tickets
+  std::chrono::steady_clock::time_point m_ticketsUntil{};
 };
 
 } // namespace toucanridge
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -17,6 +17,7 @@
 #include "slot_table_p.h"
 #include "status_p.h"
 #include "threads_http_p.h"
+#include "tickets_p.h"
 
 namespace toucanridge {
 namespace {
@@ -44,6 +45,13 @@
   void onReply(const SlotKey&, const BackendReply&) override {}
 };
 
+std::uint64_t
+randomSecret()
+{
+  std::random_device random;
+  return (static_cast<std::uint64_t>(random()) << 32U) | random();
+}
+
 std::uint64_t
 makeIncarnation()
 {
@@ -59,6 +67,7 @@
 struct Node::Impl final
   : public CallerApiI
   , public SubSenderI
+  , public TicketIoI
 {
   explicit Impl(NodeSettings aSettings);
 
@@ -67,7 +76,8 @@
 
   // CallerApiI
   AddressAnswer addresses(const std::string& aDataCentre) override;
-  void query(QueryRequest aRequest, Done aDone) override;
+  void query(QueryRequest aRequest, CallerApiI::Done aDone) override;
+  std::vector<std::string> tickets(std::uint32_t aCount) override;
   std::string statusJson() override;
   std::string metricsText() override;
 
@@ -75,6 +85,11 @@
   void send(const Host& aHost, SubBatch aBatch) override;
   void cancel(const Host& aHost, std::uint64_t aQuery) override;
 
+  // TicketIoI
+  void run(QueryRequest aRequest, TicketIoI::Done aDone) override;
+  bool forward(const std::string& aHost, TicketForward aForward) override;
+  Duration deadlineOf(const QueryRequest& aRequest) const override;
+
   void onPeerRequest(const std::string& aHost,
                      MessageType aType,
                      const std::string& aPayload,
@@ -109,6 +124,7 @@
   SlotTable slots;
   SlotChooser chooser;
   QueryEngine engine;
+  Tickets ticketRecords;
   PeerLinks links;
   PlatformHttp platform;
   CallerHttp callers;
@@ -131,6 +147,7 @@
   , slots(clock, views, rights, warmth, backend, settings.host)
   , chooser(incarnation, [](const std::string&) { return true; })
   , engine(traffic, clock, views, *this, chooser, settings.host, incarnation)
+  , ticketRecords(clock, *this, settings.host, incarnation, randomSecret())
   , links(traffic, { settings.host, incarnation })
   , platform(settings.platform)
   , callers(*this)
@@ -155,6 +172,7 @@
   handlers.onLost = [this](const std::string& aHost,
                            const std::vector<std::uint64_t>& aUnsent) {
     engine.onLinkLost(aHost, aUnsent);
+    ticketRecords.onLinkLost(aHost);
   };
   std::error_code error =
     links.init(settings.address, settings.peerPort, std::move(handlers));
@@ -186,7 +204,8 @@
   logWrite(LogLevel::Info, LogLine("draining").add("host", settings.host));
   engine.drain();
   const TimePoint limit = clock.now() + kDrainLimit;
-  while ((engine.running() > 0 || slots.inFlight() > 0) &&
+  while ((engine.running() > 0 || slots.inFlight() > 0 ||
+          ticketRecords.counters().pending > 0) &&
          clock.now() < limit) {
     std::this_thread::sleep_for(milliseconds(10));
   }
@@ -233,11 +252,61 @@
 }
 
 void
-Node::Impl::query(QueryRequest aRequest, Done aDone)
+Node::Impl::query(QueryRequest aRequest, CallerApiI::Done aDone)
+{
+  // Any class goes through the record of its ticket: this view may be older
+  // than the one that makes a class non-idempotent.
+  if (aRequest.ticket.empty()) {
+    engine.submit(std::move(aRequest), std::move(aDone));
+  } else {
+    ticketRecords.submit(std::move(aRequest), std::move(aDone));
+  }
+}
+
+std::vector<std::string>
+Node::Impl::tickets(std::uint32_t aCount)
+{
+  return ticketRecords.issue(aCount);
+}
+
+void
+Node::Impl::run(QueryRequest aRequest, TicketIoI::Done aDone)
 {
   engine.submit(std::move(aRequest), std::move(aDone));
 }
 
+bool
+Node::Impl::forward(const std::string& aHost, TicketForward aForward)
+{
+  const ViewPtr view = views.get();
+  const Host* const host = view ? view->findHost(aHost) : nullptr;
+  if (host == nullptr) {
+    return false;
+  }
+  links.send(host->name,
+             host->address,
+             host->peerPort,
+             MessageType::TicketForward,
+             encode(std::move(aForward)),
+             0);
+  return true;
+}
+
+Duration
+Node::Impl::deadlineOf(const QueryRequest& aRequest) const
+{
+  const ViewPtr view = views.get();
+  milliseconds allowed = ClassRule().deadline;
+  if (view) {
+    const auto found = view->rules->classes.find(aRequest.queryClass);
+    if (found != view->rules->classes.end()) {
+      allowed = found->second.deadline;
+    }
+  }
+  return aRequest.deadline.count() > 0 ? std::min(allowed, aRequest.deadline)
+                                       : allowed;
+}
+
 std::string
 Node::Impl::statusJson()
 {
@@ -322,6 +391,21 @@
       return;
     }
   }
+  if (aType == MessageType::TicketForward) {
+    if (const auto forwarded = decode<TicketForward>(aPayload)) {
+      ticketRecords.onForward(*forwarded, [aReply](TicketReply aAnswer) {
+        std::string frame = encode(aAnswer);
+        if (frame.size() > kMaxFrameBytes) {
+          aAnswer.answer = {};
+          aAnswer.answer.outcome = Outcome::Unknown;
+          aAnswer.answer.reason = make_error_code(Errc::TooLarge).message();
+          frame = encode(std::move(aAnswer));
+        }
+        aReply(MessageType::TicketReply, std::move(frame));
+      });
+      return;
+    }
+  }
   logWrite(LogLevel::Warn,
            LogLine("peer-message-dropped")
              .add("peer", aHost)
@@ -339,6 +423,11 @@
       engine.onReply(aHost, *reply);
       return;
     }
+  } else if (aType == MessageType::TicketReply) {
+    if (auto reply = decode<TicketReply>(aPayload)) {
+      ticketRecords.onReply(aHost, std::move(*reply));
+      return;
+    }
   }
   logWrite(LogLevel::Warn,
            LogLine("peer-message-dropped")
@@ -421,6 +510,7 @@
 Node::Impl::sweepLater()
 {
   slots.sweep();
+  ticketRecords.sweep();
   sweepTimer.expires_after(kSweepEvery);
   sweepTimer.async_wait([this](const boost::system::error_code& aError) {
     if (!aError && !stopping) {
--- a/src/query.cpp
+++ b/src/query.cpp
@@ -89,6 +89,10 @@
     return false;
   }
   m_class = found->second;
+  if (!m_class.idempotent && m_request.ticket.empty()) {
+    m_error = Errc::TicketRequired;
+    return false;
+  }
   milliseconds allowed = m_class.deadline;
   if (m_request.deadline.count() > 0) {
     allowed = std::min(allowed, m_request.deadline);
--- a/src/wire_p.h
+++ b/src/wire_p.h
@@ -132,7 +132,9 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(query, snapshot, priority, idempotent, fingerprint, deadlineUs);
+    auto flag = static_cast<std::uint8_t>(idempotent ? 1 : 0);
+    aArchive(query, snapshot, priority, flag, fingerprint, deadlineUs);
+    idempotent = flag == 1;
     wireText(aArchive, requestId);
     wireText(aArchive, queryClass);
     wireText(aArchive, body);
@@ -167,6 +169,11 @@
   void serialize(Archive& aArchive)
   {
     aArchive(query, part, attempt, status, error);
+    if constexpr (Archive::is_loading::value) {
+      if (status > SubStatus::TimedOut) {
+        throw DecodeError("no such status");
+      }
+    }
     wireText(aArchive, body);
     aArchive(snapshot, serverIncarnation, queued);
   }
@@ -196,6 +203,69 @@
   }
 };
 
+/// A request with a ticket, passed on to the ticket's issuer.
+struct TicketForward
+{
+  std::uint64_t id = 0; ///< chosen by the sender, echoed in TicketReply
+  std::string ticket;
+  std::string queryClass;
+  std::string body;
+  std::int64_t deadlineUs = 0; ///< time left, in microseconds
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id, deadlineUs);
+    wireText(aArchive, ticket);
+    wireText(aArchive, queryClass);
+    wireText(aArchive, body);
+  }
+};
+
+template<class Archive>
+void
+serialize(Archive& aArchive, GoverningRule& aRule)
+{
+  aArchive(aRule.line);
+  wireText(aArchive, aRule.text);
+  wireText(aArchive, aRule.askedBy);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, AnswerPart& aPart)
+{
+  wireText(aArchive, aPart.service);
+  wireText(aArchive, aPart.body);
+}
+
+/// The issuer's answer to a TicketForward.
+struct TicketReply
+{
+  std::uint64_t id = 0;
+  QueryAnswer answer;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(id,
+             answer.outcome,
+             answer.coverage.answered,
+             answer.coverage.total,
+             answer.snapshot,
+             answer.revision);
+    wireText(aArchive, answer.requestId);
+    wireText(aArchive, answer.reason);
+    wireList(aArchive, answer.rules);
+    wireList(aArchive, answer.parts);
+    if constexpr (Archive::is_loading::value) {
+      if (answer.outcome > Outcome::Unknown) {
+        throw DecodeError("no such outcome");
+      }
+    }
+  }
+};
+
 /// Encodes a message.
 template<class Message>
 std::string
--- a/tests/script_server.h
+++ b/tests/script_server.h
@@ -26,8 +26,9 @@
     std::string reply; ///< raw bytes, may be empty
     bool close = false;
   };
+  /// @param aText head and body of the request
   using Script =
-    std::function<Step(std::size_t aRequest, const std::string& aHead)>;
+    std::function<Step(std::size_t aRequest, const std::string& aText)>;
 
   ScriptServer(const std::string& aAddress, Script aScript)
     : m_script(std::move(aScript))
@@ -163,13 +164,14 @@
           break;
         }
       }
+      const std::string text = head + data.substr(0, body);
       data.erase(0, body);
       std::size_t number = 0;
       {
         const std::lock_guard<std::mutex> lock(m_mutex);
         number = m_requests++;
       }
-      const Step step = m_script(number, head);
+      const Step step = m_script(number, text);
       boost::asio::write(socket, boost::asio::buffer(step.reply), error);
       if (step.close) {
         break;
