Close a slot's connections at once after a failure

The adapter now keeps duplicates of the descriptors, which the library shows before each request, and shuts them down after a failure. It also takes the body away from a cancelled request, so that the library gives up on it.

--- a/src/backend_http.cpp
+++ b/src/backend_http.cpp
@@ -1,9 +1,14 @@
 #include "backend_http_p.h"
 
 #include <cstring>
+#include <deque>
 #include <map>
 #include <mutex>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cpprest/http_client.h>
 #include <cpprest/producerconsumerstream.h>
@@ -14,6 +19,7 @@
 namespace http = web::http;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
+using BodyBuffer = concurrency::streams::producer_consumer_buffer<std::uint8_t>;
 
 // The text, not the code, of cpprestsdk's error tells a failed connect from a
 // failure of an open connection: it maps a refused connect to EHOSTUNREACH,
@@ -27,6 +33,9 @@
 /// without having run. Common keep-alive limits start at 5 s.
 constexpr std::chrono::seconds kMaxIdle{ 2 };
 
+/// A slot's share of a server's connections: one in use and one being closed.
+constexpr std::size_t kSlotConnections = 2;
+
 /// Longer than any deadline of a class, so that the deadline ends a request
 /// and not cpprestsdk's default of 30 s.
 constexpr std::chrono::seconds kLibraryTimeout{ 120 };
@@ -46,11 +55,10 @@
 /// connection after it has read the request, cpprestsdk rewinds the body and
 /// sends the request again on a new connection. It can't do so with a stream
 /// that has no seek, and reports the error instead.
-void
+BodyBuffer
 setBody(http::http_request& aRequest, const std::string& aBody)
 {
-  const concurrency::streams::producer_consumer_buffer<std::uint8_t> buffer;
-  auto writable = buffer;
+  BodyBuffer writable;
   if (!aBody.empty()) {
     writable
       .putn_nocopy(reinterpret_cast<const std::uint8_t*>(aBody.data()),
@@ -60,10 +68,11 @@
   writable.close(std::ios_base::out).wait();
   aRequest.set_body(
     writable.create_istream(), aBody.size(), "text/plain; charset=utf-8");
+  return writable;
 }
 
 http::http_request
-makeRequest(const BackendCall& aCall)
+makeRequest(const BackendCall& aCall, BodyBuffer& aBody)
 {
   http::http_request request(http::methods::POST);
   request.set_request_uri("/v1/search?service=" + aCall.service);
@@ -74,7 +83,7 @@
   headers.add("Snapshot", aCall.snapshot);
   headers.add("Deadline-Ms", left.count());
   headers.add("Deadline-At", (unixTime() + left).count());
-  setBody(request, aCall.body);
+  aBody = setBody(request, aCall.body);
   return request;
 }
 
@@ -107,6 +116,56 @@
   return reply;
 }
 
+/// Duplicates of the descriptors of a client's connections. cpprestsdk has no
+/// call to close a client's connections, and after a cancel it may keep them
+/// open; shutting the duplicates down closes them at once.
+class ClientSockets
+{
+public:
+  ~ClientSockets() { shutdownAll(); }
+
+  /// cpprestsdk calls this before each request with the socket it will use,
+  /// which isn't open yet when it is new.
+  void add(boost::asio::ip::tcp::socket& aSocket)
+  {
+    if (aSocket.is_open()) {
+      return;
+    }
+    boost::system::error_code error;
+    aSocket.open(boost::asio::ip::tcp::v4(), error);
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (error || m_ended) {
+      return;
+    }
+    m_descriptors.push_back(::dup(aSocket.native_handle()));
+    if (m_descriptors.size() > kSlotConnections) {
+      shutdownOne(m_descriptors.front());
+      m_descriptors.pop_front();
+    }
+  }
+
+  void shutdownAll()
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_ended = true;
+    for (const int descriptor : m_descriptors) {
+      shutdownOne(descriptor);
+    }
+    m_descriptors.clear();
+  }
+
+private:
+  static void shutdownOne(int aDescriptor)
+  {
+    ::shutdown(aDescriptor, SHUT_RDWR);
+    ::close(aDescriptor);
+  }
+
+  std::mutex m_mutex; ///< guards what follows
+  std::deque<int> m_descriptors;
+  bool m_ended = false;
+};
+
 } // namespace
 
 struct BackendHttp::State
@@ -118,6 +177,16 @@
       : timer(aContext)
     {
     }
+    /// Cancels the request. cpprestsdk still connects and sends a request that
+    /// is cancelled before it connects, and then keeps the connection; with
+    /// the body gone it gives up instead, and no server runs it.
+    void stop()
+    {
+      body.close(std::ios_base::in);
+      cancel.cancel();
+    }
+
+    BodyBuffer body;
     pplx::cancellation_token_source cancel;
     boost::asio::steady_timer timer;
     std::atomic<bool> timedOut{ false };
@@ -128,6 +197,7 @@
   struct Pooled
   {
     ClientPtr client;
+    std::shared_ptr<ClientSockets> sockets;
     TimePoint lastUsed;
   };
 
@@ -149,6 +219,14 @@
     if (!found.client || now - found.lastUsed > kMaxIdle) {
       http::client::http_client_config config;
       config.set_timeout(kLibraryTimeout);
+      if (found.sockets) {
+        found.sockets->shutdownAll();
+      }
+      found.sockets = std::make_shared<ClientSockets>();
+      config.set_nativehandle_options(
+        [sockets = found.sockets](http::client::native_handle aHandle) {
+          sockets->add(*static_cast<boost::asio::ip::tcp::socket*>(aHandle));
+        });
       found.client = std::make_shared<http::client::http_client>(
         web::uri("http://" + aKey.server), config);
       found.lastUsed = now;
@@ -171,14 +249,16 @@
         ending->timer.cancel();
         running.erase(found);
       }
-      if (aFailed) {
-        clients.erase(aKey);
-      } else {
-        clients[aKey].lastUsed = SystemClock().now();
+      const auto pooled = clients.find(aKey);
+      if (pooled != clients.end() && aFailed) {
+        pooled->second.sockets->shutdownAll();
+        clients.erase(pooled);
+      } else if (pooled != clients.end()) {
+        pooled->second.lastUsed = SystemClock().now();
       }
     }
     if (aFailed && ending) {
-      ending->cancel.cancel();
+      ending->stop();
     }
   }
 };
@@ -203,22 +283,23 @@
     state->running[handle] = running;
     client = state->client(aCall.key);
   }
-  running->timer.expires_after(aCall.timeLeft);
+  const auto call = std::make_shared<BackendCall>(std::move(aCall));
+  const auto reply = std::make_shared<BackendReply>();
+  const auto started = SystemClock().now();
+  const http::http_request request = makeRequest(*call, running->body);
+  running->timer.expires_after(call->timeLeft);
   running->timer.async_wait([running](const boost::system::error_code& aError) {
     if (!aError) {
       running->timedOut = true;
-      running->cancel.cancel();
+      running->stop();
     }
   });
-  const auto call = std::make_shared<BackendCall>(std::move(aCall));
-  const auto reply = std::make_shared<BackendReply>();
-  const auto started = SystemClock().now();
-  client->request(makeRequest(*call), running->cancel.get_token())
+  client->request(request, running->cancel.get_token())
     .then([call, reply, running](const http::http_response& aResponse) {
       *reply = readReply(aResponse, *call);
       if (reply->status == SubStatus::Lost) {
         // Closes the connection before the library can pool it.
-        running->cancel.cancel();
+        running->stop();
         return pplx::task_from_result(std::string());
       }
       return aResponse.extract_utf8string(true);
@@ -260,7 +341,7 @@
     }
     running = found->second;
   }
-  running->cancel.cancel();
+  running->stop();
 }
 
 } // namespace toucanridge
