Quarantine requests that crash backend servers

Counts strikes by fingerprint, stops a query at the second loss, refuses the request afterwards, spreads strikes by BroadcastI, shows entries in status and obeys the rule lift quarantine. The node passes no BroadcastI yet: its implementation isn't merged.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -13,6 +13,7 @@
 #include "log_p.h"
 #include "peer_link_p.h"
 #include "platform_http_p.h"
+#include "quarantine_p.h"
 #include "query_engine_p.h"
 #include "slot_table_p.h"
 #include "status_p.h"
@@ -123,6 +124,7 @@
   BackendHttp backend;
   SlotTable slots;
   SlotChooser chooser;
+  Quarantine quarantine;
   QueryEngine engine;
   Tickets ticketRecords;
   PeerLinks links;
@@ -146,12 +148,14 @@
   , backend(traffic)
   , slots(clock, views, rights, warmth, backend, settings.host)
   , chooser(incarnation, [](const std::string&) { return true; })
+  , quarantine(clock, nullptr)
   , engine(traffic, clock, views, *this, chooser, settings.host, incarnation)
   , ticketRecords(clock, *this, settings.host, incarnation, randomSecret())
   , links(traffic, { settings.host, incarnation })
   , platform(settings.platform)
   , callers(*this)
 {
+  engine.setQuarantine(&quarantine);
 }
 
 std::error_code
@@ -310,11 +314,14 @@
 std::string
 Node::Impl::statusJson()
 {
-  return renderStatus(
-    { settings.host, settings.dataCentre, incarnation, refusedRevision },
-    views.get(),
-    slots.status(),
-    engine.counters());
+  return renderStatus({ settings.host,
+                        settings.dataCentre,
+                        incarnation,
+                        refusedRevision,
+                        quarantine.status() },
+                      views.get(),
+                      slots.status(),
+                      engine.counters());
 }
 
 std::string
@@ -331,6 +338,18 @@
   const TimePoint deadline =
     clock.now() + std::chrono::microseconds(aBatch.deadlineUs);
   const auto batch = std::make_shared<const SubBatch>(std::move(aBatch));
+  if (quarantine.blocks(batch->fingerprint)) {
+    // The entry node may not have heard of the strikes yet.
+    for (const SubItem& item : batch->items) {
+      SubReply reply;
+      reply.query = batch->query;
+      reply.part = item.part;
+      reply.attempt = item.attempt;
+      reply.error = static_cast<std::int32_t>(Errc::Quarantined);
+      aDone(std::move(reply));
+    }
+    return;
+  }
   for (std::size_t i = 0; i < batch->items.size(); ++i) {
     slots.submit({ aOrigin, batch, i, deadline }, aDone);
   }
@@ -500,6 +519,7 @@
   if (!rules || hosts.revision == 0) {
     return;
   }
+  quarantine.setLifts(rules->lifts);
   views.set(makeView(rulesRevision, rules, hosts));
   logWrite(
     LogLevel::Info,
--- /dev/null
+++ b/src/quarantine.cpp
@@ -0,0 +1,233 @@
+#include "quarantine_p.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <iomanip>
+#include <sstream>
+
+#include <xxhash.h>
+
+#include "log_p.h"
+
+namespace toucanridge {
+namespace {
+
+/// Strikes at one server within this time are one loss, seen by several
+/// queries or nodes. A server needs about this long to come back, and the
+/// hosts' clocks may differ by some of it.
+constexpr std::int64_t kSameLossMs = 3000;
+/// Strikes kept for one fingerprint; two decide.
+constexpr std::size_t kMaxStrikes = 4;
+
+std::string
+hex(std::uint64_t aValue)
+{
+  std::ostringstream out;
+  out << std::hex << std::setw(16) << std::setfill('0') << aValue;
+  return out.str();
+}
+
+} // namespace
+
+std::uint64_t
+strikeHash(const std::string& aName)
+{
+  return XXH3_64bits(aName.data(), aName.size());
+}
+
+std::string
+Strike::encode() const
+{
+  std::string text;
+  for (std::uint64_t value :
+       { fingerprint, server, service, static_cast<std::uint64_t>(atMs) }) {
+    for (int i = 0; i < 8; ++i, value >>= 8U) {
+      text.push_back(static_cast<char>(value & 0xffU));
+    }
+  }
+  return text;
+}
+
+bool
+Strike::decode(const std::string& aText, Strike& aStrike)
+{
+  std::array<std::uint64_t, 4> values{};
+  if (aText.size() != values.size() * 8) {
+    return false;
+  }
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    values[i / 8] |=
+      static_cast<std::uint64_t>(static_cast<unsigned char>(aText[i]))
+      << (8 * (i % 8));
+  }
+  aStrike = {
+    values[0], values[1], values[2], static_cast<std::int64_t>(values[3])
+  };
+  return true;
+}
+
+Quarantine::Quarantine(const ClockI& aClock, BroadcastI* aBroadcast)
+  : m_clock(aClock)
+  , m_broadcast(aBroadcast)
+{
+  if (m_broadcast != nullptr) {
+    m_broadcast->subscribe(
+      BroadcastKind::Strike,
+      [this](const std::string& aOrigin, const std::string& aItem) {
+        Strike strike;
+        if (Strike::decode(aItem, strike)) {
+          count(strike);
+        } else {
+          logWrite(LogLevel::Warn,
+                   LogLine("strike-dropped").add("origin", aOrigin));
+        }
+      });
+  }
+}
+
+void
+Quarantine::setLifts(const std::vector<LiftRule>& aLifts)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_lifted.clear();
+  for (const LiftRule& lift : aLifts) {
+    m_lifted.insert(lift.fingerprint);
+  }
+}
+
+bool
+Quarantine::blocksLocked(std::uint64_t aFingerprint) const
+{
+  const auto found = m_entries.find(aFingerprint);
+  return found != m_entries.end() &&
+         found->second.blockedUntil > m_clock.now() &&
+         m_lifted.count(aFingerprint) == 0;
+}
+
+bool
+Quarantine::blocks(std::uint64_t aFingerprint) const
+{
+  if (m_size == 0) {
+    return false;
+  }
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return blocksLocked(aFingerprint);
+}
+
+bool
+Quarantine::strike(const Strike& aStrike)
+{
+  if (m_broadcast != nullptr) {
+    m_broadcast->publish(BroadcastKind::Strike, aStrike.encode());
+  }
+  return count(aStrike);
+}
+
+bool
+Quarantine::count(const Strike& aStrike)
+{
+  const TimePoint now = m_clock.now();
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  makeRoom();
+  Entry& entry = m_entries[aStrike.fingerprint];
+  m_size = m_entries.size();
+  const bool seen = std::any_of(
+    entry.strikes.begin(), entry.strikes.end(), [&](const Strike& aEarlier) {
+      return aEarlier.server == aStrike.server &&
+             std::abs(aEarlier.atMs - aStrike.atMs) < kSameLossMs;
+    });
+  if (seen) {
+    return blocksLocked(aStrike.fingerprint);
+  }
+  if (entry.strikes.size() == kMaxStrikes) {
+    entry.strikes.erase(entry.strikes.begin());
+  }
+  entry.strikes.push_back(aStrike);
+  entry.last = now;
+  if (entry.strikes.size() >= 2 && entry.blockedUntil <= now) {
+    // Losses that it shared with other requests look the same at first.
+    const Duration span =
+      entry.onProbation ? Duration(kLong) : Duration(kFirst);
+    entry.blockedUntil = now + span;
+    entry.onProbation = true;
+    logWrite(
+      LogLevel::Warn,
+      LogLine("quarantined")
+        .add("fingerprint", hex(aStrike.fingerprint))
+        .add("strikes", entry.strikes.size())
+        .add(
+          "ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(span).count()));
+  }
+  return blocksLocked(aStrike.fingerprint);
+}
+
+void
+Quarantine::answered(std::uint64_t aFingerprint, const std::string& aService)
+{
+  if (m_size == 0) {
+    return;
+  }
+  const std::uint64_t service = strikeHash(aService);
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const auto found = m_entries.find(aFingerprint);
+  if (found == m_entries.end()) {
+    return;
+  }
+  // Other services may answer a request that crashes one of them.
+  auto& strikes = found->second.strikes;
+  strikes.erase(
+    std::remove_if(strikes.begin(),
+                   strikes.end(),
+                   [&](const Strike& s_) { return s_.service == service; }),
+    strikes.end());
+  if (strikes.empty()) {
+    m_entries.erase(found);
+    m_size = m_entries.size();
+  }
+}
+
+/// Drops expired entries, and the oldest one when there is no room.
+void
+Quarantine::makeRoom()
+{
+  const TimePoint now = m_clock.now();
+  auto oldest = m_entries.end();
+  for (auto it = m_entries.begin(); it != m_entries.end();) {
+    if (now - it->second.last >= kLong && it->second.blockedUntil <= now) {
+      it = m_entries.erase(it);
+      continue;
+    }
+    if (oldest == m_entries.end() || it->second.last < oldest->second.last) {
+      oldest = it;
+    }
+    ++it;
+  }
+  if (m_entries.size() >= kMaxEntries) {
+    m_entries.erase(oldest);
+  }
+}
+
+std::vector<QuarantineStatus>
+Quarantine::status() const
+{
+  std::vector<QuarantineStatus> list;
+  const TimePoint now = m_clock.now();
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& [fingerprint, entry] : m_entries) {
+    QuarantineStatus status;
+    status.fingerprint = fingerprint;
+    status.strikes = static_cast<std::uint32_t>(entry.strikes.size());
+    status.lifted = m_lifted.count(fingerprint) != 0;
+    status.blocked = blocksLocked(fingerprint);
+    if (status.blocked) {
+      status.left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        entry.blockedUntil - now);
+    }
+    list.push_back(status);
+  }
+  return list;
+}
+
+} // namespace toucanridge
--- a/src/query.cpp
+++ b/src/query.cpp
@@ -93,6 +93,11 @@
     m_error = Errc::TicketRequired;
     return false;
   }
+  Quarantine* const quarantine = m_engine.m_quarantine;
+  if (quarantine != nullptr && quarantine->blocks(m_fingerprint)) {
+    m_error = Errc::Quarantined;
+    return false;
+  }
   milliseconds allowed = m_class.deadline;
   if (m_request.deadline.count() > 0) {
     allowed = std::min(allowed, m_request.deadline);
@@ -183,7 +188,7 @@
 {
   const bool ran = aStatus == SubStatus::Lost || aStatus == SubStatus::TimedOut;
   return aPart.attempts.size() < kMaxAttempts && (!ran || m_class.idempotent) &&
-         m_engine.m_clock.now() < m_deadline;
+         m_error != Errc::Quarantined && m_engine.m_clock.now() < m_deadline;
 }
 
 void
@@ -226,6 +231,9 @@
     service.servers[attempt.target.server].name, host, aReply.queued);
   if (aReply.status == SubStatus::Done && aReply.snapshot == m_snapshot) {
     attempt.running = false;
+    if (m_engine.m_quarantine != nullptr) {
+      m_engine.m_quarantine->answered(m_fingerprint, service.name);
+    }
     if (!part.answered) {
       part.answered = true;
       part.body = aReply.body;
@@ -233,6 +241,10 @@
   } else if (aReply.status == SubStatus::Done) {
     // A reply of another snapshot isn't merged; the request did run.
     fail(aReply.part, attempt, SubStatus::Lost, Errc::NoSnapshot, batches);
+  } else if (aReply.status == SubStatus::Lost &&
+             strike(part, attempt, static_cast<Errc>(aReply.error))) {
+    stop(Errc::Quarantined, lock);
+    return;
   } else {
     fail(aReply.part,
          attempt,
@@ -296,17 +308,37 @@
 Query::onDeadline()
 {
   std::unique_lock<std::mutex> lock(m_mutex);
-  if (m_finished) {
-    return;
+  if (!m_finished) {
+    stop(Errc::TimedOut, lock);
   }
-  m_error = Errc::TimedOut;
+}
+
+void
+Query::stop(Errc aReason, std::unique_lock<std::mutex>& aLock)
+{
+  m_error = aReason;
   for (Part& part : m_parts) {
     for (const Attempt& attempt : part.attempts) {
       // Its request may still be on the way to the server.
       part.mayHaveRun = part.mayHaveRun || attempt.running;
     }
   }
-  finish(lock);
+  finish(aLock);
+}
+
+bool
+Query::strike(const Part& aPart, const Attempt& aAttempt, Errc aError)
+{
+  // Any other error is a stray reply, not the loss of the server.
+  if (m_engine.m_quarantine == nullptr || aError != Errc::Unreachable) {
+    return false;
+  }
+  const ServiceRule& service = m_view->rules->services[aPart.service];
+  return m_engine.m_quarantine->strike(
+    { m_fingerprint,
+      strikeHash(service.servers[aAttempt.target.server].name),
+      strikeHash(service.name),
+      unixTime().count() });
 }
 
 Outcome
--- a/src/query_engine_p.h
+++ b/src/query_engine_p.h
@@ -15,6 +15,7 @@
 #include <boost/asio.hpp>
 
 #include "clock_p.h"
+#include "quarantine_p.h"
 #include "slot_chooser_p.h"
 #include "toucanridge/toucanridge.h"
 #include "view_p.h"
@@ -73,6 +74,9 @@
   void onLinkLost(const std::string& aHost,
                   const std::vector<std::uint64_t>& aUnsent);
 
+  /// Sets the quarantine that queries consult; call it before the first query.
+  void setQuarantine(Quarantine* aQuarantine) { m_quarantine = aQuarantine; }
+
   /// Refuses new queries from now on.
   void drain() { m_draining = true; }
 
@@ -95,6 +99,7 @@
   SlotChooser& m_chooser;
   std::string m_self;
   std::uint64_t m_incarnation;
+  Quarantine* m_quarantine = nullptr;
   std::atomic<std::uint64_t> m_nextId{ 1 };
   std::atomic<bool> m_draining{ false };
   EngineCounters m_counters;
--- a/src/query_p.h
+++ b/src/query_p.h
@@ -53,9 +53,14 @@
             SubStatus aStatus,
             Errc aError,
             Batches& aBatches);
+  /// Counts a lost server against the request.
+  /// @returns true when the query must stop
+  bool strike(const Part& aPart, const Attempt& aAttempt, Errc aError);
   bool mayRetry(const Part& aPart, SubStatus aStatus) const;
   bool isSettled() const;
   void onDeadline();
+  /// Ends the query while attempts may run; releases aLock.
+  void stop(Errc aReason, std::unique_lock<std::mutex>& aLock);
   /// Ends the query; the mutex is held by aLock and released.
   void finish(std::unique_lock<std::mutex>& aLock);
   QueryAnswer makeAnswer() const;
--- a/src/status_http.cpp
+++ b/src/status_http.cpp
@@ -1,5 +1,6 @@
 #include "status_p.h"
 
+#include <iomanip>
 #include <sstream>
 
 #include <cpprest/json.h>
@@ -33,6 +34,27 @@
   return body;
 }
 
+json::value
+quarantineJson(const std::vector<QuarantineStatus>& aEntries)
+{
+  std::vector<json::value> list;
+  for (const QuarantineStatus& status : aEntries) {
+    // The form that the rule "lift quarantine" takes.
+    std::ostringstream fingerprint;
+    fingerprint << std::hex << std::setw(16) << std::setfill('0')
+                << status.fingerprint;
+    json::value entry = json::value::object();
+    entry["fingerprint"] = json::value::string(fingerprint.str());
+    entry["strikes"] = json::value::number(status.strikes);
+    entry["blocked"] = json::value::boolean(status.blocked);
+    entry["lifted"] = json::value::boolean(status.lifted);
+    entry["left_ms"] =
+      json::value::number(static_cast<std::int64_t>(status.left.count()));
+    list.push_back(entry);
+  }
+  return json::value::array(list);
+}
+
 json::value
 viewJson(const View& aView)
 {
@@ -74,6 +96,7 @@
   body["data_centre"] = json::value::string(aFacts.dataCentre);
   body["incarnation"] = number(aFacts.incarnation);
   body["refused_revision"] = number(aFacts.refusedRevision);
+  body["quarantine"] = quarantineJson(aFacts.quarantine);
   body["log_lines_dropped"] = number(logDropped());
   body["counters"] = countersJson(aCounters);
   if (aView) {
--- a/src/status_p.h
+++ b/src/status_p.h
@@ -20,6 +20,7 @@
   std::string dataCentre;
   std::uint64_t incarnation = 0;
   std::uint64_t refusedRevision = 0; ///< newest refused rules file, 0 for none
+  std::vector<QuarantineStatus> quarantine;
 };
 
 /// @returns JSON text
