--- a/src/caller_api_p.h
+++ b/src/caller_api_p.h
@@ -41,6 +41,8 @@
   /// @returns false while the node is starting, leaving or out of service;
   ///          its refusals then name other addresses
   virtual bool takesWork() = 0;
+  /// @returns new tickets issued by this node, fewer than asked for at most
+  virtual std::vector<std::string> tickets(std::uint32_t aCount) = 0;
   /// @returns the node's status as JSON text
   virtual std::string statusJson() = 0;
   /// @returns metrics in the text exposition format
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -14,11 +14,13 @@
 #include "log_p.h"
 #include "peer_link_p.h"
 #include "platform_http_p.h"
+#include "quarantine_p.h"
 #include "query_engine_p.h"
 #include "rights_p.h"
 #include "slot_table_p.h"
 #include "status_p.h"
 #include "threads_http_p.h"
+#include "tickets_p.h"
 
 namespace toucanridge {
 namespace {
@@ -39,6 +41,13 @@
   void onReply(const SlotKey&, const BackendReply&) override {}
 };
 
+std::uint64_t
+randomSecret()
+{
+  std::random_device random;
+  return (static_cast<std::uint64_t>(random()) << 32U) | random();
+}
+
 std::uint64_t
 makeIncarnation()
 {
@@ -54,6 +63,7 @@
 struct Node::Impl final
   : public CallerApiI
   , public SubSenderI
+  , public TicketIoI
 {
   explicit Impl(NodeSettings aSettings);
 
@@ -62,8 +72,9 @@
 
   // CallerApiI
   AddressAnswer addresses(const std::string& aDataCentre) override;
-  void query(QueryRequest aRequest, Done aDone) override;
+  void query(QueryRequest aRequest, CallerApiI::Done aDone) override;
   bool takesWork() override;
+  std::vector<std::string> tickets(std::uint32_t aCount) override;
   std::string statusJson() override;
   std::string metricsText() override;
 
@@ -71,6 +82,11 @@
   void send(const Host& aHost, SubBatch aBatch) override;
   void cancel(const Host& aHost, std::uint64_t aQuery) override;
 
+  // TicketIoI
+  void run(QueryRequest aRequest, TicketIoI::Done aDone) override;
+  bool forward(const std::string& aHost, TicketForward aForward) override;
+  Duration deadlineOf(const QueryRequest& aRequest) const override;
+
   void onPeerRequest(const std::string& aHost,
                      MessageType aType,
                      const std::string& aPayload,
@@ -98,15 +114,17 @@
   asio::steady_timer rightsTimer;
   std::vector<std::thread> threads;
 
+  PeerLinks links;
+  PlatformHttp platform;
+  ControlPlane plane;
   SendingRights rights;
   NoWarmth warmth;
   BackendHttp backend;
   SlotTable slots;
   SlotChooser chooser;
+  Quarantine quarantine;
   QueryEngine engine;
-  PeerLinks links;
-  PlatformHttp platform;
-  ControlPlane plane;
+  Tickets ticketRecords;
   CallerHttp callers;
   std::atomic<bool> draining{ false };
   std::atomic<bool> stopping{ false };
@@ -118,12 +136,6 @@
   , trafficWork(asio::make_work_guard(traffic))
   , sweepTimer(traffic)
   , rightsTimer(control)
-  , rights(clock, settings.host)
-  , backend(traffic)
-  , slots(clock, views, rights, warmth, backend, settings.host)
-  , chooser(incarnation,
-            [this](const std::string& aHost) { return plane.isAlive(aHost); })
-  , engine(traffic, clock, views, *this, chooser, settings.host, incarnation)
   , links(traffic, { settings.host, incarnation })
   , platform(settings.platform)
   , plane(control,
@@ -134,8 +146,17 @@
           links,
           views,
           [this] { return static_cast<std::uint32_t>(engine.running()); })
+  , rights(clock, settings.host)
+  , backend(traffic)
+  , slots(clock, views, rights, warmth, backend, settings.host)
+  , chooser(incarnation,
+            [this](const std::string& aHost) { return plane.isAlive(aHost); })
+  , quarantine(clock, &plane.broadcast())
+  , engine(traffic, clock, views, *this, chooser, settings.host, incarnation)
+  , ticketRecords(clock, *this, settings.host, incarnation, randomSecret())
   , callers(*this)
 {
+  engine.setQuarantine(&quarantine);
 }
 
 std::error_code
@@ -157,6 +178,7 @@
                            const std::vector<std::uint64_t>& aUnsent) {
     engine.onLinkLost(aHost, aUnsent);
     plane.onLinkLost(aHost);
+    ticketRecords.onLinkLost(aHost);
   };
   std::error_code error =
     links.init(settings.address, settings.peerPort, std::move(handlers));
@@ -166,7 +188,10 @@
   plane.setEvidence(&rights);
   plane.setSettled([this] { return slots.settled(); });
   plane.setLeased([this] { return rights.leased(); });
-  plane.setOnView([this](const ViewPtr& aView) { rights.adopt(aView); });
+  plane.setOnView([this](const ViewPtr& aView) {
+    rights.adopt(aView);
+    quarantine.setLifts(aView->rules->lifts);
+  });
   error = plane.init();
   if (error) {
     return error;
@@ -194,7 +219,8 @@
 bool
 Node::Impl::isIdle() const
 {
-  if (engine.running() > 0 || slots.inFlight() > 0 || links.pending() > 0) {
+  if (engine.running() > 0 || slots.inFlight() > 0 || links.pending() > 0 ||
+      ticketRecords.counters().pending > 0) {
     return false;
   }
   const auto gates = slots.status();
@@ -242,7 +268,25 @@
 }
 
 void
-Node::Impl::query(QueryRequest aRequest, Done aDone)
+Node::Impl::query(QueryRequest aRequest, CallerApiI::Done aDone)
+{
+  // Any class goes through the record of its ticket: this view may be older
+  // than the one that makes a class non-idempotent.
+  if (aRequest.ticket.empty()) {
+    engine.submit(std::move(aRequest), std::move(aDone));
+  } else {
+    ticketRecords.submit(std::move(aRequest), std::move(aDone));
+  }
+}
+
+std::vector<std::string>
+Node::Impl::tickets(std::uint32_t aCount)
+{
+  return ticketRecords.issue(aCount);
+}
+
+void
+Node::Impl::run(QueryRequest aRequest, TicketIoI::Done aDone)
 {
   engine.submit(std::move(aRequest), std::move(aDone));
 }
@@ -255,21 +299,56 @@
   return !draining && view && (self == nullptr || view->inService(*self));
 }
 
+bool
+Node::Impl::forward(const std::string& aHost, TicketForward aForward)
+{
+  const ViewPtr view = views.get();
+  const Host* const host = view ? view->findHost(aHost) : nullptr;
+  if (host == nullptr) {
+    return false;
+  }
+  links.send(host->name,
+             host->address,
+             host->peerPort,
+             MessageType::TicketForward,
+             encode(std::move(aForward)),
+             0);
+  return true;
+}
+
+Duration
+Node::Impl::deadlineOf(const QueryRequest& aRequest) const
+{
+  const ViewPtr view = views.get();
+  milliseconds allowed = ClassRule().deadline;
+  if (view) {
+    const auto found = view->rules->classes.find(aRequest.queryClass);
+    if (found != view->rules->classes.end()) {
+      allowed = found->second.deadline;
+    }
+  }
+  return aRequest.deadline.count() > 0 ? std::min(allowed, aRequest.deadline)
+                                       : allowed;
+}
+
 std::string
 Node::Impl::statusJson()
 {
-  return renderStatus(
-    { settings.host, settings.dataCentre, incarnation, plane.status() },
-    views.get(),
-    slots.status(),
-    engine.counters());
+  return renderStatus({ settings.host,
+                        settings.dataCentre,
+                        incarnation,
+                        plane.status(),
+                        quarantine.status() },
+                      views.get(),
+                      slots.status(),
+                      engine.counters());
 }
 
 std::string
 Node::Impl::metricsText()
 {
   return renderMetrics(
-    { settings.host, settings.dataCentre, incarnation, plane.status() },
+    { settings.host, settings.dataCentre, incarnation, plane.status(), {} },
     views.get(),
     slots.status(),
     engine.counters());
@@ -283,6 +362,18 @@
   const TimePoint deadline =
     clock.now() + std::chrono::microseconds(aBatch.deadlineUs);
   const auto batch = std::make_shared<const SubBatch>(std::move(aBatch));
+  if (quarantine.blocks(batch->fingerprint)) {
+    // The entry node may not have heard of the strikes yet.
+    for (const SubItem& item : batch->items) {
+      SubReply reply;
+      reply.query = batch->query;
+      reply.part = item.part;
+      reply.attempt = item.attempt;
+      reply.error = static_cast<std::int32_t>(Errc::Quarantined);
+      aDone(std::move(reply));
+    }
+    return;
+  }
   for (std::size_t i = 0; i < batch->items.size(); ++i) {
     slots.submit({ aOrigin, batch, i, deadline }, aDone);
   }
@@ -346,6 +437,21 @@
     plane.onConfigRequest(aPayload, aReply);
     return;
   }
+  if (aType == MessageType::TicketForward) {
+    if (const auto forwarded = decode<TicketForward>(aPayload)) {
+      ticketRecords.onForward(*forwarded, [aReply](TicketReply aAnswer) {
+        std::string frame = encode(aAnswer);
+        if (frame.size() > kMaxFrameBytes) {
+          aAnswer.answer = {};
+          aAnswer.answer.outcome = Outcome::Unknown;
+          aAnswer.answer.reason = make_error_code(Errc::TooLarge).message();
+          frame = encode(std::move(aAnswer));
+        }
+        aReply(MessageType::TicketReply, std::move(frame));
+      });
+      return;
+    }
+  }
   logWrite(LogLevel::Warn,
            LogLine("peer-message-dropped")
              .add("peer", aHost)
@@ -367,6 +473,11 @@
              aType == MessageType::ConfigWhole) {
     plane.onConfigReply(aHost, aType, aPayload);
     return;
+  } else if (aType == MessageType::TicketReply) {
+    if (auto reply = decode<TicketReply>(aPayload)) {
+      ticketRecords.onReply(aHost, std::move(*reply));
+      return;
+    }
   }
   logWrite(LogLevel::Warn,
            LogLine("peer-message-dropped")
@@ -392,6 +503,7 @@
 Node::Impl::sweepLater()
 {
   slots.sweep();
+  ticketRecords.sweep();
   sweepTimer.expires_after(kSweepEvery);
   sweepTimer.async_wait([this](const boost::system::error_code& aError) {
     if (!aError && !stopping) {
--- a/src/status_p.h
+++ b/src/status_p.h
@@ -22,6 +22,7 @@
   std::string dataCentre;
   std::uint64_t incarnation = 0;
   std::shared_ptr<const ControlStatus> control;
+  std::vector<QuarantineStatus> quarantine;
 };
 
 /// @returns JSON text
