Ignore settled reports under a newer view

An earlier holder that skipped the view in which it had lost a slot reported a newer view as settled and still used the slot, because the newer view had given it back. A report now counts only under the receiver's own view.

--- a/src/rights.cpp
+++ b/src/rights.cpp
@@ -328,6 +328,9 @@
     });
 }
 
+/// Drops the earlier holders that have settled. A report under a newer view
+/// does not count: that view may have given the slot back to its sender.
+/// @returns true when none is left
 bool
 SendingRights::earlierSettled(Slot& aSlot) const
 {
@@ -338,6 +341,7 @@
                    [this](const Earlier& aEarlier) {
                      const auto ack = m_acks.find(aEarlier.place.host);
                      return ack != m_acks.end() &&
+                            ack->second.view == m_view->id &&
                             ack->second.settled.covers(aEarlier.replacedBy);
                    }),
     earlier.end());
--- a/tests/rights_test.cpp
+++ b/tests/rights_test.cpp
@@ -611,6 +611,9 @@
     CPPUNIT_ASSERT(kept < bench.held(*next));
     bench.run(kWait - milliseconds(100), { "a3" }, next);
     CPPUNIT_ASSERT_EQUAL(kept, bench.usable(*next));
+    // Under a newer view the slot may have returned to the earlier holder.
+    bench.ack("a2", testView(1, 3, { "a1", "a2", "a3" }), { 1, 3 });
+    CPPUNIT_ASSERT_EQUAL(kept, bench.usable(*next));
     bench.ack("a2", next, next->id);
     CPPUNIT_ASSERT_EQUAL(bench.held(*next), bench.usable(*next));
   }
