--- a/tests/rights_test.cpp
+++ b/tests/rights_test.cpp
@@ -497,18 +497,18 @@
   std::vector<SubReply> replies;
 
   Table() { views.set(testView(1, 1, { "a1" })); }
-  void submit()
+  void submit(SlotTable& aSlots)
   {
     SubBatch batch;
     SubItem item;
     item.service = "s/1";
     item.server = "127.0.0.1:80";
     batch.items.push_back(item);
-    slots.submit({ "a1",
-                   std::make_shared<const SubBatch>(batch),
-                   0,
-                   clock.now() + milliseconds(200) },
-                 [this](SubReply aReply) { replies.push_back(aReply); });
+    aSlots.submit({ "a1",
+                    std::make_shared<const SubBatch>(batch),
+                    0,
+                    clock.now() + milliseconds(200) },
+                  [this](SubReply aReply) { replies.push_back(aReply); });
   }
 };
 
@@ -531,16 +531,17 @@
   CPPUNIT_TEST_SUITE(RightsTest);
   CPPUNIT_TEST(waitsForMajority);
   CPPUNIT_TEST(leaseIsDatedBySend);
-  CPPUNIT_TEST(newerViewDoesNotRenew);
+  CPPUNIT_TEST(anotherViewDoesNotRenew);
   CPPUNIT_TEST(startedPeerDoesNotVote);
   CPPUNIT_TEST(settledHolderEndsHandover);
   CPPUNIT_TEST(skippedViewPreventsEarlyHandover);
   CPPUNIT_TEST(severalViewsWaitForEachHolder);
   CPPUNIT_TEST(returningHolderWaitsForOthers);
-  CPPUNIT_TEST(lapseUnderAnotherViewWaits);
+  CPPUNIT_TEST(lapseUnderAnotherViewOrLongWaits);
   CPPUNIT_TEST(otherDataCentreMustMove);
   CPPUNIT_TEST(onlyHostNeedsNoPeer);
   CPPUNIT_TEST(checksAgainBeforeSend);
+  CPPUNIT_TEST(slotTableFollowsRights);
   CPPUNIT_TEST(settledWaitsForRequests);
   CPPUNIT_TEST(neverTwoHoldersOfOneSlot);
   CPPUNIT_TEST_SUITE_END();
@@ -577,13 +578,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), bench.usable(*view));
   }
 
-  // Guards against a holder that goes on under a view its peers have left.
-  void newerViewDoesNotRenew()
+  // Guards against a holder that goes on under a view its peers have left, and
+  // against one whose peers may still vote for another holder.
+  void anotherViewDoesNotRenew()
   {
-    Bench bench;
-    const ViewPtr view = opened(bench);
-    bench.run(kLease, { "a2", "a3" }, testView(2, 1, { "a1", "a2", "a3" }));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(0), bench.usable(*view));
+    for (const bool newer : { true, false }) {
+      Bench bench;
+      const ViewPtr view = opened(bench);
+      const ViewPtr next = testView(2, 1, { "a1", "a2", "a3" });
+      if (!newer) {
+        bench.rights.adopt(next);
+      }
+      CPPUNIT_ASSERT(bench.usable(*view) > 0);
+      bench.run(kLease, { "a2", "a3" }, newer ? next : view);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), bench.usable(*view));
+    }
   }
 
   // Guards against the vote of a host that forgot its earlier vote.
@@ -669,7 +678,7 @@
 
   // Guards against a paused holder that keeps its slots on waking, though
   // another may have held them under a view in between.
-  void lapseUnderAnotherViewWaits()
+  void lapseUnderAnotherViewOrLongWaits()
   {
     Bench bench;
     const ViewPtr first = opened(bench);
@@ -684,6 +693,11 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), bench.usable(*next));
     bench.run(milliseconds(200), { "a2", "a3" }, next);
     CPPUNIT_ASSERT_EQUAL(bench.held(*next), bench.usable(*next));
+    // A long lapse hides a restart of a voter that forgot a newer view.
+    bench.clock.advance(2 * kLease + milliseconds(1));
+    bench.ack("a2", next);
+    bench.ack("a3", next);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), bench.usable(*next));
   }
 
   // Guards against taking over the slots of a data centre that is out but cut
@@ -719,7 +733,7 @@
   {
     Table table;
     table.rights.yes = 1;
-    table.submit();
+    table.submit(table.slots);
     CPPUNIT_ASSERT(table.backend.sent.empty());
     table.rights.yes = 0;
     table.clock.advance(milliseconds(200));
@@ -728,6 +742,29 @@
     CPPUNIT_ASSERT(table.replies[0].status == SubStatus::NotRun);
   }
 
+  // Guards against rights that never reach the queue: work waits or is
+  // answered without them, and is sent with them.
+  void slotTableFollowsRights()
+  {
+    Table table;
+    SendingRights rights(table.clock, "a1");
+    SlotTable slots(
+      table.clock, table.views, rights, table.warmth, table.backend, "a1");
+    const ViewPtr view = testView(1, 1, { "a1", "b1" });
+    rights.adopt(view);
+    table.views.set(view);
+    table.submit(slots);
+    table.clock.advance(milliseconds(200));
+    slots.sweep();
+    CPPUNIT_ASSERT(table.replies.at(0).status == SubStatus::NotRun);
+    for (int i = 0; i < 40; ++i) {
+      table.clock.advance(milliseconds(100));
+      rights.onProbeAcked({ "b1", 1, view->id, view->id }, table.clock.now());
+    }
+    table.submit(slots);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.backend.sent.size());
+  }
+
   // Guards against reporting a view settled while a request under an older
   // one, of this process or the one before, may run.
   void settledWaitsForRequests()
@@ -737,7 +774,7 @@
     table.clock.advance(kSilence);
     CPPUNIT_ASSERT(table.slots.settled() == (ViewId{ 1, 1 }));
     table.rights.yes = 2;
-    table.submit();
+    table.submit(table.slots);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.backend.sent.size());
     table.views.set(testView(1, 2, { "a1" }));
     CPPUNIT_ASSERT(table.slots.settled() == (ViewId{ 1, 1 }));
@@ -754,13 +791,20 @@
                                                     { 5, 1, 1, 1 } };
     int moves = 0;
     long usable = 0;
-    // For a search by hand: TOUCANRIDGE_SEEDS="FIRST LAST".
+    // These found faults of earlier versions: a holder of a skipped
+    // view, a quorum of another list, and settled reports under newer views.
+    std::vector<std::uint32_t> seeds{ 1081, 1429, 1459, 2176 };
     std::uint32_t first = 1;
-    std::uint32_t last = 30;
+    std::uint32_t last = 26;
+    // For a search by hand: TOUCANRIDGE_SEEDS="FIRST LAST".
     if (const char* range = std::getenv("TOUCANRIDGE_SEEDS")) {
+      seeds.clear();
       std::istringstream(range) >> first >> last;
     }
     for (std::uint32_t seed = first; seed <= last; ++seed) {
+      seeds.push_back(seed);
+    }
+    for (const std::uint32_t seed : seeds) {
       Fleet fleet(seed, layouts[seed % layouts.size()]);
       const std::string violation = fleet.run();
       CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ": " + violation,
@@ -768,11 +812,13 @@
       moves += fleet.moves;
       usable += fleet.usable;
     }
-    std::cout << "property: " << moves << " changes of holder, "
-              << 100 * usable / ((last - first + 1L) * Fleet::kSteps * 12)
+    const auto runs = static_cast<long>(seeds.size());
+    std::cout << "property: " << runs << " seeds, " << moves
+              << " changes of holder, "
+              << 100 * usable / (runs * Fleet::kSteps * 12)
               << "% of slots usable over all steps\n";
     // A generator that moves few slots would prove little.
-    CPPUNIT_ASSERT(moves > static_cast<int>(20 * (last - first + 1)));
+    CPPUNIT_ASSERT(moves > 20 * runs);
   }
 };
 
