Keep membership sound at 560 nodes under loss and partition

At 560 nodes with 20% loss, 30 s ended in 301 false deaths (a death counts once for each node that declares it). A partition of the two regions for 60 s left live hosts marked dead 60 s after it healed.

Causes: failed probes made more suspicions than the room for updates could refute; a suspicion of a host never heard before carries incarnation 0, and the host's answer was not passed on as news; gossip leaves a few nodes without an update at random. Ruled out: longer suspicion, which would delay deaths and not add room.

A probe now repeats three times at 200 ms, updates carry a hash in place of the host name, an answer to a suspicion is always news, and one probe in eight goes to a member that is not believed alive. A started node learns from the first acknowledgement who is gone. A node that was cut off drops its open probes when it hears a peer again.

--- a/src/gossip_wire_p.h
+++ b/src/gossip_wire_p.h
@@ -45,10 +45,18 @@
   Leaving = 3, ///< announced by the member itself
 };
 
-/// A member's state as it spreads.
+/// @returns a host's number in member updates, a hash of its name
+std::uint32_t
+memberId(const std::string& aHost);
+
+/// A member's state as it spreads. The name's hash takes its place: when two
+/// regions find each other again, an update about every member must fit into
+/// the bandwidth, and names would double its size.
 struct MemberUpdate
 {
-  std::string host;
+  static constexpr std::size_t kWireBytes = 17;
+
+  std::uint32_t id = 0;
   std::uint64_t incarnation = 0; ///< start of the process
   std::uint32_t refutation = 0;  ///< raised by the member to deny a suspicion
   MemberState state = MemberState::Alive;
@@ -56,8 +64,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    wireShortText(aArchive, host);
-    aArchive(incarnation, refutation, state);
+    aArchive(id, incarnation, refutation, state);
   }
 };
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <tuple>
 
+#include <xxhash.h>
+
 #include "log_p.h"
 
 namespace toucanridge {
@@ -15,12 +17,18 @@
 /// from before the pause would be about this node, not about them.
 constexpr milliseconds kPauseLimit{ 1000 };
 /// Bytes of updates and items in one datagram. Eight datagrams a second, four
-/// sent and four received, of at most about 850 bytes each stay below 9 KB/s.
-constexpr std::size_t kMaxAttachedBytes = 650;
+/// sent and four received, of at most about 800 bytes each stay below 9 KB/s.
+constexpr std::size_t kMaxAttachedBytes = 600;
 /// Share of them for member updates, so that broadcast items always have room.
-constexpr std::size_t kMaxUpdateBytes = 450;
+constexpr std::size_t kMaxUpdateBytes = 400;
+/// Suspicions run for seconds; a finer check would only cost time.
+constexpr milliseconds kSuspectCheckEvery{ 250 };
 /// Pings on behalf of others that may be outstanding.
 constexpr std::size_t kMaxRelays = 64;
+/// One in so many probes goes to a member that is not believed alive. Gossip
+/// leaves a few nodes without the news of a return, and their next regular
+/// probe of it may be minutes off.
+constexpr std::uint32_t kRecheckEvery = 8;
 /// A node whose last probes all failed has most likely lost its own network;
 /// it then keeps its suspicions to itself.
 constexpr std::uint32_t kIsolatedAfter = 3;
@@ -29,14 +37,14 @@
 /// hundreds of suspects at once, the limit keeps the traffic constant.
 constexpr std::uint32_t kMaxConfirmsASecond = 4;
 
-std::size_t
-wireSize(const MemberUpdate& aUpdate)
+} // namespace
+
+std::uint32_t
+memberId(const std::string& aHost)
 {
-  return aUpdate.host.size() + 2 + 8 + 4 + 1;
+  return XXH32(aHost.data(), aHost.size(), 0);
 }
 
-} // namespace
-
 Membership::Membership(const ClockI& aClock,
                        std::uint64_t aSeed,
                        MembershipSettings aSettings,
@@ -61,6 +69,7 @@
   const auto phase = std::uniform_int_distribution<std::int64_t>(
     0, Duration(m_settings.joinProbeEvery).count())(m_random);
   m_nextProbe = m_nextLease = m_nextSeed = m_lastTick + Duration(phase);
+  resetNames();
   enqueue(selfUpdate());
 }
 
@@ -94,13 +103,29 @@
     }
   };
   forget(m_suspects);
+  resetNames();
   for (auto i = m_updates.begin(); i != m_updates.end();) {
-    const bool keep = i->first == m_self || m_members.count(i->first) != 0;
-    i = keep ? std::next(i) : m_updates.erase(i);
+    i = m_names.count(i->first) == 0 ? m_updates.erase(i) : std::next(i);
   }
   m_changed = true;
 }
 
+void
+Membership::resetNames()
+{
+  m_names = { { memberId(m_self), m_self } };
+  std::set<std::uint32_t> ambiguous;
+  for (const auto& entry : m_members) {
+    const std::uint32_t id = memberId(entry.first);
+    if (!m_names.emplace(id, entry.first).second) {
+      ambiguous.insert(id);
+    }
+  }
+  for (const std::uint32_t id : ambiguous) {
+    m_names.erase(id);
+  }
+}
+
 void
 Membership::setLease(milliseconds aLease)
 {
@@ -164,7 +189,22 @@
 void
 Membership::probeNext()
 {
-  if (const Member* member = advance(m_all, false)) {
+  const Member* member = nullptr;
+  if (++m_round % kRecheckEvery == 0) {
+    std::vector<const Member*> unavailable;
+    for (const auto& entry : m_members) {
+      if (entry.second.state != MemberState::Alive) {
+        unavailable.push_back(&entry.second);
+      }
+    }
+    if (!unavailable.empty()) {
+      member = unavailable[m_random() % unavailable.size()];
+    }
+  }
+  if (member == nullptr) {
+    member = advance(m_all, false);
+  }
+  if (member != nullptr) {
     startProbe(*member, false);
   }
 }
@@ -293,6 +333,10 @@
 Membership::checkSuspects()
 {
   const TimePoint now = m_clock.now();
+  if (now < m_nextSuspectCheck) {
+    return;
+  }
+  m_nextSuspectCheck = now + kSuspectCheckEvery;
   if (now - m_confirmsSince >= std::chrono::seconds(1)) {
     m_confirmsSince = now;
     m_confirms = 0;
@@ -402,27 +446,47 @@
   for (auto& entry : m_updates) {
     queue.push_back(&entry.second);
   }
-  std::stable_sort(
-    queue.begin(), queue.end(), [](const Queued* aOne, const Queued* aOther) {
-      return aOne->sent < aOther->sent;
-    });
-  std::size_t used = 0;
+  constexpr std::size_t kMost = kMaxUpdateBytes / MemberUpdate::kWireBytes;
+  if (queue.size() > kMost) {
+    // Without the shuffle, nodes with the same queue would all send the same
+    // part of it first.
+    std::shuffle(queue.begin(), queue.end(), m_random);
+    std::nth_element(queue.begin(),
+                     queue.begin() + kMost,
+                     queue.end(),
+                     [](const Queued* aOne, const Queued* aOther) {
+                       return aOne->sent < aOther->sent;
+                     });
+    queue.resize(kMost);
+  }
   const std::uint32_t limit = transmits();
   for (Queued* queued : queue) {
-    const std::size_t size = wireSize(queued->update);
-    if (used + size > kMaxUpdateBytes) {
-      break;
-    }
-    used += size;
-    aMessage.updates.push_back(queued->update);
+    const MemberUpdate update = queued->update;
+    aMessage.updates.push_back(update);
     if (++queued->sent >= limit) {
-      const std::string host = queued->update.host;
-      m_updates.erase(host);
+      m_updates.erase(update.id);
     }
   }
+  const std::size_t used = queue.size() * MemberUpdate::kWireBytes;
   m_broadcaster.take(kMaxAttachedBytes - used, limit, aMessage.items);
 }
 
+/// Tells a starting node which members are not alive; the updates about them
+/// were spread before it listened.
+void
+Membership::attachUnavailable(Gossip& aMessage) const
+{
+  std::size_t used = 0;
+  for (const auto& [name, member] : m_members) {
+    const MemberUpdate update = updateOf(member);
+    if (member.state != MemberState::Alive && name != aMessage.to &&
+        used + MemberUpdate::kWireBytes <= kMaxAttachedBytes) {
+      used += MemberUpdate::kWireBytes;
+      aMessage.updates.push_back(update);
+    }
+  }
+}
+
 void
 Membership::onDatagram(const PeerAddress& aFrom, std::string_view aBytes)
 {
@@ -443,7 +507,7 @@
   }
   const bool relayed = message->kind == GossipKind::RelayedAck;
   const std::string& subject = relayed ? message->target : message->from;
-  apply({ subject,
+  apply({ memberId(subject),
           message->incarnation,
           message->refutation,
           message->leaving != 0 ? MemberState::Leaving : MemberState::Alive });
@@ -463,9 +527,12 @@
     m_local.onDigest(message->from, aFrom, message->digest);
   }
   if (message->kind == GossipKind::Ping) {
-    send(aFrom,
-         makeMessage(GossipKind::Ack, message->sequence, message->from),
-         true);
+    Gossip ack = makeMessage(GossipKind::Ack, message->sequence, message->from);
+    const bool starting = message->digest.rules == 0;
+    if (starting) {
+      attachUnavailable(ack);
+    }
+    send(aFrom, std::move(ack), !starting);
   } else if (message->kind == GossipKind::PingRequest) {
     onRelayRequest(aFrom, *message);
   } else {
@@ -489,6 +556,10 @@
   }
   const TimePoint sentAt = probe->sentAt;
   m_probes.erase(probe);
+  if (m_failedInRow >= kIsolatedAfter) {
+    // This node was cut off; what it sent meanwhile says nothing about others.
+    m_probes.clear();
+  }
   m_failedInRow = 0;
   m_counters.indirectAcks += aRelayed ? 1 : 0;
   m_evidence.onProbeAcked(
@@ -576,11 +647,15 @@
 void
 Membership::apply(const MemberUpdate& aUpdate)
 {
-  if (aUpdate.host == m_self) {
+  const auto name = m_names.find(aUpdate.id);
+  if (name == m_names.end()) {
+    return;
+  }
+  if (name->second == m_self) {
     applyToSelf(aUpdate);
     return;
   }
-  const auto found = m_members.find(aUpdate.host);
+  const auto found = m_members.find(name->second);
   if (found == m_members.end()) {
     return;
   }
@@ -593,12 +668,13 @@
   }
   const MemberState before = member.state;
   // The first incarnation heard of a host is no news to others.
-  const bool isNews =
-    member.incarnation != 0 || aUpdate.state != MemberState::Alive;
+  const bool isNews = member.incarnation != 0 ||
+                      member.state != MemberState::Alive ||
+                      aUpdate.state != MemberState::Alive;
   member.incarnation = aUpdate.incarnation;
   member.refutation = aUpdate.refutation;
   member.state = aUpdate.state;
-  m_suspects.erase(aUpdate.host);
+  m_suspects.erase(name->second);
   if (member.state == MemberState::Suspect) {
     startSuspicion(member);
   }
@@ -639,24 +715,24 @@
 }
 
 void
-Membership::enqueue(MemberUpdate aUpdate)
+Membership::enqueue(const MemberUpdate& aUpdate)
 {
-  const std::string host = aUpdate.host;
-  m_updates[host] = { std::move(aUpdate), 0 };
+  m_updates[aUpdate.id] = { aUpdate, 0 };
 }
 
 MemberUpdate
 Membership::updateOf(const Member& aMember) const
 {
-  return {
-    aMember.host.name, aMember.incarnation, aMember.refutation, aMember.state
-  };
+  return { memberId(aMember.host.name),
+           aMember.incarnation,
+           aMember.refutation,
+           aMember.state };
 }
 
 MemberUpdate
 Membership::selfUpdate() const
 {
-  return { m_self,
+  return { memberId(m_self),
            m_incarnation,
            m_refutation,
            m_leaving ? MemberState::Leaving : MemberState::Alive };
@@ -733,6 +809,9 @@
 void
 Membership::log(const char* aEvent, const Member& aMember) const
 {
+  if (!logEnabled(LogLevel::Info)) {
+    return;
+  }
   constexpr const char* kNames[] = { "alive", "suspect", "dead", "leaving" };
   logWrite(LogLevel::Info,
            LogLine(aEvent)
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -47,13 +47,13 @@
 {
   std::chrono::milliseconds probeEvery{ 1000 };
   /// Above the round trip between regions with a loaded receiver.
-  std::chrono::milliseconds directTimeout{ 300 };
+  std::chrono::milliseconds directTimeout{ 200 };
   std::chrono::milliseconds probeTimeout{ 1000 };
   std::uint32_t indirect = 3; ///< members asked to probe on this node's behalf
-  /// Times that a probe is repeated and relays are asked. With one round, 2% of
-  /// the probes failed at 20% loss, and the suspicions and refutations of 64
-  /// nodes filled the room for updates, so some live hosts were declared dead.
-  std::uint32_t rounds = 2;
+  /// Times that a probe is repeated and relays are asked. At 20% loss 2% of
+  /// the probes fail with one round and 0.2% with two; at 560 nodes even that
+  /// made more suspicions than updates can refute in time.
+  std::uint32_t rounds = 3;
   /// Probe period of a starting node, which waits for its peers' revisions.
   std::chrono::milliseconds joinProbeEvery{ 100 };
 };
@@ -167,6 +167,7 @@
                      const std::string& aTo) const;
   void send(const PeerAddress& aTo, Gossip aMessage, bool aAttach);
   void attach(Gossip& aMessage);
+  void attachUnavailable(Gossip& aMessage) const;
   void startProbe(const Member& aMember, bool aLease);
   void askRelays(const Probe& aProbe);
   void finishProbe(const Gossip& aMessage, bool aRelayed);
@@ -182,8 +183,9 @@
   void startSuspicion(Member& aMember);
   void spreadDoubt(const Member& aMember);
   void apply(const MemberUpdate& aUpdate);
+  void resetNames();
   void applyToSelf(const MemberUpdate& aUpdate);
-  void enqueue(MemberUpdate aUpdate);
+  void enqueue(const MemberUpdate& aUpdate);
   MemberUpdate updateOf(const Member& aMember) const;
   MemberUpdate selfUpdate() const;
   std::uint32_t transmits() const;
@@ -204,7 +206,10 @@
 
   std::map<std::string, Member> m_members;
   std::set<std::string> m_suspects;
-  std::map<std::string, Queued> m_updates;
+  /// Members and this host by number. Updates about two hosts whose numbers
+  /// collide don't spread; probes find their state.
+  std::map<std::uint32_t, std::string> m_names;
+  std::map<std::uint32_t, Queued> m_updates;
   std::vector<Probe> m_probes;
   std::vector<Relay> m_relays;
   Rotation m_all;
@@ -213,6 +218,7 @@
   std::uint32_t m_sequence = 0;
   std::uint32_t m_refutation = 0;
   std::uint32_t m_failedInRow = 0;
+  std::uint32_t m_round = 0;
   std::uint32_t m_confirms = 0;
   TimePoint m_confirmsSince;
   bool m_leaving = false;
@@ -222,6 +228,7 @@
   TimePoint m_nextProbe;
   TimePoint m_nextLease;
   TimePoint m_nextSeed;
+  TimePoint m_nextSuspectCheck;
   bool m_changed = true;
   MembershipCounters m_counters;
 };
