--- a/src/control_core_p.h
+++ b/src/control_core_p.h
@@ -35,7 +35,7 @@
     /// @returns queries that run
     std::function<std::uint32_t()> load;
     /// Takes a new view. It may be used for new work only when aReady is set.
-    std::function<void(ViewPtr, bool aReady)> onView;
+    std::function<void(const ViewPtr&, bool aReady)> onView;
   };
 
   ControlCore(const ClockI& aClock,
--- a/src/control_plane.cpp
+++ b/src/control_plane.cpp
@@ -100,7 +100,7 @@
              *this,
              [this] { return m_settled ? m_settled() : ViewId{}; },
              std::move(aLoad),
-             [this](ViewPtr aView, bool aReady) {
+             [this](const ViewPtr& aView, bool aReady) {
                m_known.set(aView);
                if (aReady) {
                  logWrite(LogLevel::Info,
--- a/src/control_plane_p.h
+++ b/src/control_plane_p.h
@@ -61,7 +61,10 @@
   void setEvidence(PeerEvidenceI* aEvidence) { m_evidence = aEvidence; }
   /// Tells which view is settled, on the control thread; see PeerState. Call
   /// it before init().
-  void setSettled(std::function<ViewId()> aSettled) { m_settled = aSettled; }
+  void setSettled(std::function<ViewId()> aSettled)
+  {
+    m_settled = std::move(aSettled);
+  }
   /// Called on the control thread with each view that new work may use, after
   /// it was published. Call it before init().
   void setOnView(std::function<void(const ViewPtr&)> aOnView)
--- /dev/null
+++ b/src/membership_message.cpp
@@ -0,0 +1,166 @@
+/// Membership: datagrams and what rides on them.
+
+#include "membership_p.h"
+
+#include <algorithm>
+
+#include "log_p.h"
+
+namespace toucanridge {
+namespace {
+
+/// Bytes of updates and items in one datagram. Eight datagrams a second, four
+/// sent and four received, of at most about 800 bytes each stay below 9 KB/s.
+constexpr std::size_t kMaxAttachedBytes = 600;
+/// Share of them for member updates, so that broadcast items always have room.
+constexpr std::size_t kMaxUpdateBytes = 400;
+
+} // namespace
+
+Gossip
+Membership::makeMessage(GossipKind aKind,
+                        std::uint32_t aSequence,
+                        const std::string& aTo) const
+{
+  const PeerState state = m_local.state();
+  Gossip message;
+  message.kind = aKind;
+  message.sequence = aSequence;
+  message.from = m_self;
+  message.to = aTo;
+  message.incarnation = m_incarnation;
+  message.refutation = m_refutation;
+  message.leaving = m_leaving ? 1 : 0;
+  message.load = m_local.load();
+  message.view = state.view;
+  message.settled = state.settled;
+  message.digest = m_local.digest();
+  return message;
+}
+
+void
+Membership::send(const PeerAddress& aTo, Gossip aMessage, bool aAttach)
+{
+  // A host that is not believed alive is told so, and can refute it at once.
+  const auto receiver = m_members.find(aMessage.to);
+  if (receiver != m_members.end() &&
+      receiver->second.state != MemberState::Alive) {
+    aMessage.updates.push_back(updateOf(receiver->second));
+  }
+  if (aAttach) {
+    attach(aMessage);
+  }
+  std::string bytes = encode(std::move(aMessage));
+  if (bytes.size() > kMaxDatagramBytes) {
+    logWrite(LogLevel::Error,
+             LogLine("datagram-too-large").add("bytes", bytes.size()));
+    return;
+  }
+  ++m_counters.sentDatagrams;
+  m_counters.sentBytes += bytes.size();
+  m_sender.sendDatagram(aTo, std::move(bytes));
+}
+
+/// Adds the updates that were sent least often, then broadcast items.
+void
+Membership::attach(Gossip& aMessage)
+{
+  std::vector<Queued*> queue;
+  for (auto& entry : m_updates) {
+    queue.push_back(&entry.second);
+  }
+  constexpr std::size_t kMost = kMaxUpdateBytes / MemberUpdate::kWireBytes;
+  if (queue.size() > kMost) {
+    // Without the shuffle, nodes with the same queue would all send the same
+    // part of it first.
+    std::shuffle(queue.begin(), queue.end(), m_random);
+    std::nth_element(queue.begin(),
+                     queue.begin() + kMost,
+                     queue.end(),
+                     [](const Queued* aOne, const Queued* aOther) {
+                       return aOne->sent < aOther->sent;
+                     });
+    queue.resize(kMost);
+  }
+  const std::uint32_t limit = transmits();
+  for (Queued* queued : queue) {
+    const MemberUpdate update = queued->update;
+    aMessage.updates.push_back(update);
+    if (++queued->sent >= limit) {
+      m_updates.erase(update.id);
+    }
+  }
+  const std::size_t used = queue.size() * MemberUpdate::kWireBytes;
+  m_broadcaster.take(kMaxAttachedBytes - used, limit, aMessage.items);
+}
+
+/// Tells a starting node which members are not alive; the updates about them
+/// were spread before it listened.
+void
+Membership::attachUnavailable(Gossip& aMessage) const
+{
+  std::size_t used = 0;
+  for (const auto& [name, member] : m_members) {
+    const MemberUpdate update = updateOf(member);
+    if (member.state != MemberState::Alive && name != aMessage.to &&
+        used + MemberUpdate::kWireBytes <= kMaxAttachedBytes) {
+      used += MemberUpdate::kWireBytes;
+      aMessage.updates.push_back(update);
+    }
+  }
+}
+
+void
+Membership::onDatagram(const PeerAddress& aFrom, std::string_view aBytes)
+{
+  ++m_counters.receivedDatagrams;
+  m_counters.receivedBytes += aBytes.size();
+  const auto message =
+    aBytes.size() > kMaxDatagramBytes ? std::nullopt : decode<Gossip>(aBytes);
+  if (!message || message->from.empty() || message->kind < GossipKind::Ping ||
+      message->kind > GossipKind::RelayedAck) {
+    ++m_counters.malformed;
+    return;
+  }
+  // An address may have passed to another host.
+  if (message->from == m_self ||
+      (!message->to.empty() && message->to != m_self)) {
+    ++m_counters.misaddressed;
+    return;
+  }
+  const bool relayed = message->kind == GossipKind::RelayedAck;
+  const std::string& subject = relayed ? message->target : message->from;
+  apply({ memberId(subject),
+          message->incarnation,
+          message->refutation,
+          message->leaving != 0 ? MemberState::Leaving : MemberState::Alive });
+  const auto member = m_members.find(subject);
+  if (member != m_members.end()) {
+    member->second.load = message->load;
+  }
+  for (const MemberUpdate& update : message->updates) {
+    if (update.state <= MemberState::Leaving) {
+      apply(update);
+    }
+  }
+  for (const BroadcastItem& item : message->items) {
+    m_broadcaster.onReceived(item);
+  }
+  if (!relayed) {
+    m_local.onDigest(message->from, aFrom, message->digest);
+  }
+  if (message->kind == GossipKind::Ping) {
+    Gossip ack = makeMessage(GossipKind::Ack, message->sequence, message->from);
+    const bool starting = message->digest.rules == 0;
+    if (starting) {
+      attachUnavailable(ack);
+    }
+    send(aFrom, std::move(ack), !starting);
+  } else if (message->kind == GossipKind::PingRequest) {
+    onRelayRequest(aFrom, *message);
+  } else {
+    finishProbe(*message, relayed);
+  }
+}
+
+} // namespace toucanridge
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -97,7 +97,10 @@
   /// Takes the published list; members that it drops are forgotten.
   void setHosts(const HostList& aHosts);
   /// Addresses to ask while no host is known.
-  void setSeeds(std::vector<PeerAddress> aSeeds) { m_seeds = aSeeds; }
+  void setSeeds(std::vector<PeerAddress> aSeeds)
+  {
+    m_seeds = std::move(aSeeds);
+  }
   /// Probes a host of the own data centre three times a lease.
   void setLease(std::chrono::milliseconds aLease);
   /// A starting node probes faster.
@@ -123,6 +126,10 @@
   const MembershipCounters& counters() const { return m_counters; }
 
 private:
+  /// A node whose last probes all failed has most likely lost its own network;
+  /// it then keeps its suspicions to itself.
+  static constexpr std::uint32_t kIsolatedAfter = 3;
+
   struct Member
   {
     Host host;
--- /dev/null
+++ b/src/membership_probe.cpp
@@ -0,0 +1,306 @@
+/// Membership: probes, relays and their outcome.
+
+#include "membership_p.h"
+
+#include <algorithm>
+
+namespace toucanridge {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A tick this late means that the process was paused; verdicts about peers
+/// from before the pause would be about this node, not about them.
+constexpr milliseconds kPauseLimit{ 1000 };
+/// Pings on behalf of others that may be outstanding.
+constexpr std::size_t kMaxRelays = 64;
+/// One in so many probes goes to a member that is not believed alive. Gossip
+/// leaves a few nodes without the news of a return, and their next regular
+/// probe of it may be minutes off.
+constexpr std::uint32_t kRecheckEvery = 8;
+
+} // namespace
+
+void
+Membership::tick()
+{
+  const TimePoint now = m_clock.now();
+  if (now - m_lastTick > kPauseLimit) {
+    notePause();
+  }
+  m_lastTick = now;
+  checkProbes();
+  checkSuspects();
+  if (m_members.empty()) {
+    probeSeeds();
+    return;
+  }
+  if (now >= m_nextProbe) {
+    probeNext();
+    m_nextProbe =
+      now + (m_joining ? m_settings.joinProbeEvery : m_settings.probeEvery);
+  }
+  if (now >= m_nextLease) {
+    probeForLease();
+  }
+}
+
+void
+Membership::notePause()
+{
+  const Duration gap = m_clock.now() - m_lastTick;
+  ++m_counters.pauses;
+  m_probes.clear();
+  m_relays.clear();
+  for (const std::string& host : m_suspects) {
+    m_members.at(host).deadAt += gap;
+  }
+}
+
+const Membership::Member*
+Membership::advance(Rotation& aRotation, bool aAliveOnly)
+{
+  for (std::size_t i = 0; i < aRotation.hosts.size(); ++i) {
+    if (aRotation.next >= aRotation.hosts.size()) {
+      aRotation.next = 0;
+      std::shuffle(aRotation.hosts.begin(), aRotation.hosts.end(), m_random);
+    }
+    const Member& member = m_members.at(aRotation.hosts[aRotation.next++]);
+    if (!aAliveOnly || member.state == MemberState::Alive) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+/// Dead members stay in the rotation: nothing else would find out that a
+/// partition has healed.
+void
+Membership::probeNext()
+{
+  const Member* member = nullptr;
+  if (++m_round % kRecheckEvery == 0) {
+    std::vector<const Member*> unavailable;
+    for (const auto& entry : m_members) {
+      if (entry.second.state != MemberState::Alive) {
+        unavailable.push_back(&entry.second);
+      }
+    }
+    if (!unavailable.empty()) {
+      member = unavailable[m_random() % unavailable.size()];
+    }
+  }
+  if (member == nullptr) {
+    member = advance(m_all, false);
+  }
+  if (member != nullptr) {
+    startProbe(*member, false);
+  }
+}
+
+void
+Membership::probeForLease()
+{
+  m_nextLease = m_clock.now() + m_leaseEvery;
+  const Member* member = advance(m_neighbours, true);
+  if (member == nullptr) {
+    member = advance(m_neighbours, false);
+  }
+  if (member != nullptr) {
+    startProbe(*member, true);
+  }
+}
+
+void
+Membership::probeSeeds()
+{
+  if (m_clock.now() < m_nextSeed) {
+    return;
+  }
+  m_nextSeed = m_clock.now() + m_settings.probeEvery / 2;
+  for (const PeerAddress& seed : m_seeds) {
+    send(seed, makeMessage(GossipKind::Ping, ++m_sequence, {}), false);
+  }
+}
+
+void
+Membership::startProbe(const Member& aMember, bool aLease)
+{
+  Probe probe;
+  probe.sequence = ++m_sequence;
+  probe.host = aMember.host.name;
+  probe.sentAt = m_clock.now();
+  probe.lease = aLease;
+  ++m_counters.probes;
+  m_probes.push_back(probe);
+  send({ aMember.host.address, aMember.host.peerPort },
+       makeMessage(GossipKind::Ping, probe.sequence, probe.host),
+       true);
+}
+
+/// Repeats the ping and asks other members to probe the host, so that neither
+/// one lost datagram nor one broken path makes a suspect.
+void
+Membership::askRelays(const Probe& aProbe)
+{
+  const auto found = m_members.find(aProbe.host);
+  if (found == m_members.end() || found->second.state == MemberState::Dead ||
+      found->second.state == MemberState::Leaving) {
+    return;
+  }
+  const Host& host = found->second.host;
+  send({ host.address, host.peerPort },
+       makeMessage(GossipKind::Ping, aProbe.sequence, aProbe.host),
+       false);
+  if (found->second.state == MemberState::Suspect) {
+    return; // relays were asked before it became one
+  }
+  std::vector<const Member*> relays;
+  for (const auto& [name, member] : m_members) {
+    if (name != aProbe.host && member.state == MemberState::Alive) {
+      relays.push_back(&member);
+    }
+  }
+  for (std::uint32_t i = 0; i < m_settings.indirect && !relays.empty(); ++i) {
+    const std::size_t pick = std::uniform_int_distribution<std::size_t>(
+      0, relays.size() - 1)(m_random);
+    const Host& relay = relays[pick]->host;
+    relays.erase(relays.begin() + static_cast<std::ptrdiff_t>(pick));
+    Gossip request =
+      makeMessage(GossipKind::PingRequest, aProbe.sequence, relay.name);
+    request.target = aProbe.host;
+    send({ relay.address, relay.peerPort }, std::move(request), false);
+  }
+}
+
+void
+Membership::checkProbes()
+{
+  const TimePoint now = m_clock.now();
+  bool leaseMissed = false;
+  std::vector<std::string> failed;
+  for (Probe& probe : m_probes) {
+    if (probe.rounds < m_settings.rounds &&
+        now - probe.sentAt >= m_settings.directTimeout * (probe.rounds + 1)) {
+      leaseMissed = leaseMissed || (probe.lease && probe.rounds == 0);
+      ++probe.rounds;
+      askRelays(probe);
+    }
+    if (now - probe.sentAt >= m_settings.probeTimeout) {
+      failed.push_back(probe.host);
+    }
+  }
+  m_probes.erase(std::remove_if(m_probes.begin(),
+                                m_probes.end(),
+                                [&](const Probe& aProbe) {
+                                  return now - aProbe.sentAt >=
+                                         m_settings.probeTimeout;
+                                }),
+                 m_probes.end());
+  m_relays.erase(std::remove_if(m_relays.begin(),
+                                m_relays.end(),
+                                [&](const Relay& aRelay) {
+                                  return now - aRelay.sentAt >=
+                                         m_settings.probeTimeout;
+                                }),
+                 m_relays.end());
+  for (const std::string& host : failed) {
+    ++m_counters.probesFailed;
+    ++m_failedInRow;
+    const auto member = m_members.find(host);
+    if (member != m_members.end()) {
+      suspect(member->second);
+    }
+  }
+  if (leaseMissed) {
+    // The lease can't wait for the next period.
+    probeForLease();
+  }
+}
+
+void
+Membership::finishProbe(const Gossip& aMessage, bool aRelayed)
+{
+  const std::string& host = aRelayed ? aMessage.target : aMessage.from;
+  const auto probe =
+    std::find_if(m_probes.begin(), m_probes.end(), [&](const Probe& aProbe) {
+      return aProbe.sequence == aMessage.sequence && aProbe.host == host;
+    });
+  if (probe == m_probes.end()) {
+    if (!aRelayed) {
+      passToAsker(aMessage);
+    }
+    return;
+  }
+  const TimePoint sentAt = probe->sentAt;
+  m_probes.erase(probe);
+  if (m_failedInRow >= kIsolatedAfter) {
+    // This node was cut off; what it sent meanwhile says nothing about others.
+    m_probes.clear();
+  }
+  m_failedInRow = 0;
+  m_counters.indirectAcks += aRelayed ? 1 : 0;
+  m_evidence.onProbeAcked(
+    { host, aMessage.incarnation, aMessage.view, aMessage.settled }, sentAt);
+}
+
+void
+Membership::onRelayRequest(const PeerAddress& aFrom, const Gossip& aMessage)
+{
+  const auto target = m_members.find(aMessage.target);
+  if (target == m_members.end() || m_relays.size() >= kMaxRelays) {
+    return;
+  }
+  Relay relay;
+  relay.sequence = ++m_sequence;
+  relay.askedSequence = aMessage.sequence;
+  relay.asker = aMessage.from;
+  relay.address = aFrom;
+  relay.sentAt = m_clock.now();
+  relay.target = aMessage.target;
+  const Host& host = target->second.host;
+  send({ host.address, host.peerPort },
+       makeMessage(GossipKind::Ping, relay.sequence, relay.target),
+       false);
+  m_relays.push_back(std::move(relay));
+}
+
+void
+Membership::passToAsker(const Gossip& aMessage)
+{
+  const auto found =
+    std::find_if(m_relays.begin(), m_relays.end(), [&](const Relay& aRelay) {
+      return aRelay.sequence == aMessage.sequence &&
+             aRelay.target == aMessage.from;
+    });
+  if (found == m_relays.end()) {
+    return;
+  }
+  const Relay relay = *found;
+  m_relays.erase(found);
+  Gossip reply = aMessage;
+  reply.kind = GossipKind::RelayedAck;
+  reply.sequence = relay.askedSequence;
+  reply.from = m_self;
+  reply.to = relay.asker;
+  reply.target = relay.target;
+  reply.updates.clear();
+  reply.items.clear();
+  send(relay.address, std::move(reply), false);
+}
+
+void
+Membership::onFailureHint(const std::string& aHost)
+{
+  const auto found = m_members.find(aHost);
+  const bool probing =
+    std::any_of(m_probes.begin(), m_probes.end(), [&](const Probe& aProbe) {
+      return aProbe.host == aHost;
+    });
+  if (found != m_members.end() && !probing &&
+      found->second.state == MemberState::Alive) {
+    startProbe(found->second, false);
+  }
+}
+
+} // namespace toucanridge
--- a/tests/control_fleet.h
+++ b/tests/control_fleet.h
@@ -165,7 +165,7 @@
                    platform.hosts.hosts.end(),
                    [&](const Host& aHost) { return aHost.name == aName; });
     members.erase(aName);
-    auto member = std::make_unique<Member>(*this, *entry, ++lastIncarnation);
+    auto member = std::make_unique<Member>(*this, *entry, ++m_lastIncarnation);
     std::vector<PeerAddress> seeds;
     seeds.reserve(aSeeds.size());
     for (const std::string& seed : aSeeds) {
@@ -202,9 +202,9 @@
   void run(Duration aFor)
   {
     const TimePoint end = clock.now() + aFor;
-    while (!events.empty() && events.top().at <= end) {
-      const Event event = events.top();
-      events.pop();
+    while (!m_events.empty() && m_events.top().at <= end) {
+      const Event event = m_events.top();
+      m_events.pop();
       clock.advance(event.at - clock.now());
       event.work();
     }
@@ -265,7 +265,7 @@
 
   void schedule(Duration aDelay, std::function<void()> aWork)
   {
-    events.push({ clock.now() + aDelay, ++lastOrder, std::move(aWork) });
+    m_events.push({ clock.now() + aDelay, ++m_lastOrder, std::move(aWork) });
   }
 
   /// Runs work later if that process still exists.
@@ -375,9 +375,9 @@
           });
   }
 
-  std::priority_queue<Event> events;
-  std::uint64_t lastOrder = 0;
-  std::uint64_t lastIncarnation = 100;
+  std::priority_queue<Event> m_events;
+  std::uint64_t m_lastOrder = 0;
+  std::uint64_t m_lastIncarnation = 100;
 };
 
 } // namespace toucanridge
