--- a/src/control_plane_p.h
+++ b/src/control_plane_p.h
@@ -61,10 +61,16 @@
   void setEvidence(PeerEvidenceI* aEvidence) { m_evidence = aEvidence; }
   /// Tells which view is settled, on the control thread; see PeerState. Call
   /// it before init().
-  void setSettled(std::function<ViewId()> aSettled) { m_settled = aSettled; }
+  void setSettled(std::function<ViewId()> aSettled) 
+  {
+    m_settled = std::move(aSettled);
+  }
   /// Tells under which view this node holds a lease, on the control thread;
   /// see PeerState. Call it before init().
-  void setLeased(std::function<ViewId()> aLeased) { m_leased = aLeased; }
+  void setLeased(std::function<ViewId()> aLeased) 
+  {
+    m_leased = std::move(aLeased);
+  }
   /// Probes faster while the sending rights wait for word from other data
   /// centres. Call it on the control thread.
   void setEager(bool aEager) { m_core.membership().setEager(aEager); }
