Bound what the peer port and the caller port take in

Peer port: frames over 512 bytes before Hello, connections without Hello after 2 s, over 1,024 of them or over 2,048 in all, pings over 64 bytes and 64 MB of unread replies end the connection with a log line. Payload memory grows with what arrives: 100 claimed lengths of 4 MB took 420 MB before.

Caller port: cpprestsdk read a refused body of any length into memory (93 MB of 96 MB sent); the body's buffer is now closed with the refusal.

The 64 MB bound on unread replies has no test.

--- a/src/caller_http.cpp
+++ b/src/caller_http.cpp
@@ -32,6 +32,14 @@
   aRequest.reply(response);
 }
 
+/// Ends the reading of a body. cpprestsdk reads one of any length into memory,
+/// beside the handler; it gives up when the buffer takes no more.
+void
+stopReading(const http::http_request& aRequest)
+{
+  aRequest.body().streambuf().close(std::ios_base::out);
+}
+
 http::status_code
 statusOf(const QueryAnswer& aAnswer)
 {
@@ -240,6 +248,7 @@
     refuse(aRequest,
            http::status_codes::RequestEntityTooLarge,
            "a body of at most 1 MiB with a Content-Length is required");
+    stopReading(aRequest);
     return;
   }
   // A request is a handle; the copy shares its body.
--- a/src/frame_stream.cpp
+++ b/src/frame_stream.cpp
@@ -1,5 +1,7 @@
 #include "peer_link_p.h"
 
+#include <algorithm>
+
 #include "log_p.h"
 
 namespace toucanridge {
@@ -14,6 +16,13 @@
 /// silent. TCP itself would take minutes to notice.
 constexpr milliseconds kSilenceLimit{ 1000 };
 
+/// Most bytes that a read waits for at once.
+constexpr std::size_t kReadStep = 64U << 10U;
+/// A peer that doesn't read what it is sent is dropped at this many bytes.
+constexpr std::size_t kMaxQueuedBytes = 64U << 20U;
+/// Longest payload of a ping; it is sent back.
+constexpr std::size_t kMaxPingBytes = 64;
+
 std::array<unsigned char, 5>
 makeHeader(std::uint32_t aSize, MessageType aType)
 {
@@ -108,8 +117,12 @@
         return;
       }
       const auto size = static_cast<std::uint32_t>(payload.size());
+      m_queued += size;
       m_queue.push_back({ makeHeader(size, aType), std::move(payload), aTag });
       write();
+      if (m_queued > kMaxQueuedBytes) {
+        end("queue-full");
+      }
     });
 }
 
@@ -133,44 +146,54 @@
         return;
       }
       const std::uint32_t size = sizeOf(m_header);
-      if (size > kMaxFrameBytes) {
+      if (size > m_frameLimit) {
         logWrite(LogLevel::Warn,
                  LogLine("frame-refused")
                    .add("bytes", size)
-                   .add("limit", kMaxFrameBytes));
+                   .add("limit", m_frameLimit));
         end("frame-too-large");
         return;
       }
+      m_payload.clear();
       readPayload(size, static_cast<MessageType>(m_header[4]));
     });
 }
 
+/// Reads the rest of a payload. Memory grows with what arrives, not with the
+/// length that a header claims.
 void
-FrameStream::readPayload(std::uint32_t aSize, MessageType aType)
+FrameStream::readPayload(std::size_t aLeft, MessageType aType)
 {
-  m_payload.resize(aSize);
+  if (aLeft == 0) {
+    onFrame(aType, std::move(m_payload));
+    if (!m_ended) {
+      readHeader();
+    }
+    return;
+  }
+  const std::size_t have = m_payload.size();
+  const std::size_t part = std::min(aLeft, kReadStep);
+  m_payload.resize(have + part);
   auto self = shared_from_this();
-  asio::async_read(
-    m_socket,
-    asio::buffer(m_payload),
-    [this, self, aType](const boost::system::error_code& aError, std::size_t) {
-      if (aError) {
-        end("read-failed");
-        return;
-      }
-      onFrame(aType, std::move(m_payload));
-      m_payload.clear();
-      if (!m_ended) {
-        readHeader();
-      }
-    });
+  asio::async_read(m_socket,
+                   asio::buffer(&m_payload[have], part),
+                   [this, self, aType, left = aLeft - part](
+                     const boost::system::error_code& aError, std::size_t) {
+                     if (aError) {
+                       end("read-failed");
+                       return;
+                     }
+                     readPayload(left, aType);
+                   });
 }
 
 void
 FrameStream::onFrame(MessageType aType, std::string aPayload)
 {
   m_answered = true;
-  if (aType == MessageType::Ping) {
+  if (aType == MessageType::Ping && aPayload.size() > kMaxPingBytes) {
+    end("ping-too-large");
+  } else if (aType == MessageType::Ping) {
     send(MessageType::Pong, std::move(aPayload));
   } else if (aType != MessageType::Pong) {
     m_onFrame(aType, std::move(aPayload));
@@ -187,6 +210,7 @@
   // The frame leaves the queue here: from now on the peer may receive it.
   auto frame = std::make_shared<Frame>(std::move(m_queue.front()));
   m_queue.pop_front();
+  m_queued -= frame->payload.size();
   const auto type = static_cast<MessageType>(frame->header[4]);
   if (type != MessageType::Pong) {
     watchProgress();
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -9,6 +9,18 @@
 using asio::ip::tcp;
 
 constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
+/// A connection must name its host within this time.
+constexpr std::chrono::seconds kHelloTimeout{ 2 };
+/// Largest frame before Hello; a host name is far shorter.
+constexpr std::size_t kMaxHelloBytes = 512;
+/// Connections that may wait for their Hello at a time. After a restart all
+/// 559 peers connect at once.
+constexpr std::size_t kMaxUngreeted = 1024;
+/// Accepted connections in all; each peer has one, or two while it replaces
+/// one.
+constexpr std::size_t kMaxServed = 2048;
+/// Pause after a failed accept, such as one without a free descriptor.
+constexpr std::chrono::milliseconds kAcceptPause{ 50 };
 
 } // namespace
 
@@ -16,6 +28,7 @@
   : m_context(aContext)
   , m_self(std::move(aSelf))
   , m_acceptor(aContext)
+  , m_acceptTimer(aContext)
 {
 }
 
@@ -57,7 +70,7 @@
       streams.push_back(entry.second);
     }
     for (auto& entry : m_served) {
-      streams.push_back(entry.second);
+      streams.push_back(entry.second.stream);
     }
   }
   boost::system::error_code ignored;
@@ -78,21 +91,27 @@
       }
       if (!aError) {
         serve(std::make_shared<FrameStream>(std::move(aSocket)));
+        acceptNext();
+        return;
       }
-      acceptNext();
+      logWrite(LogLevel::Warn,
+               LogLine("accept-failed").addText("reason", aError.message()));
+      m_acceptTimer.expires_after(kAcceptPause);
+      m_acceptTimer.async_wait([this](const boost::system::error_code& aEnd) {
+        if (!aEnd) {
+          acceptNext();
+        }
+      });
     });
 }
 
 void
 PeerLinks::serve(const StreamPtr& aStream)
 {
-  {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    if (m_stopping) {
-      return;
-    }
-    m_served[aStream.get()] = aStream;
+  if (!admit(aStream)) {
+    return;
   }
+  aStream->setFrameLimit(kMaxHelloBytes);
   auto peer = std::make_shared<Hello>();
   const std::weak_ptr<FrameStream> weak = aStream;
   FrameStream* const key = aStream.get();
@@ -104,8 +123,12 @@
   aStream->accept(
     [this, peer, weak, reply](MessageType aType, const std::string& aPayload) {
       if (aType == MessageType::Hello) {
-        if (auto hello = decode<Hello>(aPayload)) {
+        const StreamPtr stream = weak.lock();
+        auto hello = decode<Hello>(aPayload);
+        if (stream && hello && !hello->host.empty()) {
           *peer = std::move(*hello);
+          stream->setFrameLimit(kMaxFrameBytes);
+          greet(stream);
           return;
         }
       } else if (!peer->host.empty()) {
@@ -122,8 +145,66 @@
     },
     [this, key](const char*, const std::vector<std::uint64_t>&) {
       const std::lock_guard<std::mutex> lock(m_mutex);
-      m_served.erase(key);
+      const auto found = m_served.find(key);
+      if (found != m_served.end()) {
+        m_ungreeted -= found->second.greeted ? 0 : 1;
+        m_served.erase(found);
+      }
     });
+  auto timer = std::make_shared<asio::steady_timer>(m_context, kHelloTimeout);
+  timer->async_wait([this, weak, timer](const boost::system::error_code&) {
+    if (const StreamPtr stream = weak.lock()) {
+      closeUnlessGreeted(stream);
+    }
+  });
+}
+
+/// Takes an accepted connection.
+/// @returns false when there are too many; the connection is dropped
+bool
+PeerLinks::admit(const StreamPtr& aStream)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  if (m_stopping) {
+    return false;
+  }
+  if (m_ungreeted >= kMaxUngreeted || m_served.size() >= kMaxServed) {
+    logWrite(LogLevel::Warn,
+             LogLine("peer-refused")
+               .add("reason", "too-many")
+               .add("ungreeted", m_ungreeted)
+               .add("served", m_served.size()));
+    return false;
+  }
+  m_served[aStream.get()] = { aStream, false };
+  ++m_ungreeted;
+  return true;
+}
+
+void
+PeerLinks::greet(const StreamPtr& aStream)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const auto found = m_served.find(aStream.get());
+  if (found != m_served.end() && !found->second.greeted) {
+    found->second.greeted = true;
+    --m_ungreeted;
+  }
+}
+
+void
+PeerLinks::closeUnlessGreeted(const StreamPtr& aStream)
+{
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found = m_served.find(aStream.get());
+    if (found == m_served.end() || found->second.greeted) {
+      return;
+    }
+  }
+  logWrite(LogLevel::Warn,
+           LogLine("peer-refused").add("reason", "hello-timeout"));
+  aStream->close("hello-timeout");
 }
 
 PeerLinks::StreamPtr
--- a/src/peer_link_p.h
+++ b/src/peer_link_p.h
@@ -51,6 +51,10 @@
   void send(MessageType aType, std::string aPayload, std::uint64_t aTag = 0);
   void close(const char* aReason);
 
+  /// Sets the largest payload to accept; on the stream's strand, or before the
+  /// stream starts.
+  void setFrameLimit(std::size_t aBytes) { m_frameLimit = aBytes; }
+
 private:
   struct Frame
   {
@@ -61,7 +65,7 @@
 
   void open();
   void readHeader();
-  void readPayload(std::uint32_t aSize, MessageType aType);
+  void readPayload(std::size_t aLeft, MessageType aType);
   void onFrame(MessageType aType, std::string aPayload);
   void write();
   void watchProgress();
@@ -73,7 +77,9 @@
   OnClose m_onClose;
   std::array<unsigned char, 5> m_header{};
   std::string m_payload;
+  std::size_t m_frameLimit = kMaxFrameBytes;
   std::deque<Frame> m_queue;
+  std::size_t m_queued = 0; ///< payload bytes in m_queue
   bool m_open = false;
   bool m_writing = false;
   bool m_ended = false;
@@ -132,8 +138,18 @@
 private:
   using StreamPtr = std::shared_ptr<FrameStream>;
 
+  /// An accepted connection.
+  struct Served
+  {
+    StreamPtr stream;
+    bool greeted = false; ///< it sent a valid Hello
+  };
+
   void acceptNext();
   void serve(const StreamPtr& aStream);
+  bool admit(const StreamPtr& aStream);
+  void greet(const StreamPtr& aStream);
+  void closeUnlessGreeted(const StreamPtr& aStream);
   StreamPtr connectTo(const std::string& aHost,
                       const std::string& aAddress,
                       std::uint16_t aPort);
@@ -144,7 +160,9 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
   mutable std::mutex m_mutex; ///< guards the two containers
   std::map<std::string, StreamPtr> m_links;
-  std::map<FrameStream*, StreamPtr> m_served;
+  std::map<FrameStream*, Served> m_served;
+  std::size_t m_ungreeted = 0;
+  boost::asio::steady_timer m_acceptTimer;
   bool m_stopping = false;
 };
 
--- /dev/null
+++ b/tests/peer_link_test.cpp
@@ -0,0 +1,288 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <chrono>
+#include <fstream>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio.hpp>
+#include <malloc.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "peer_link_p.h"
+
+using namespace toucanridge;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+constexpr const char* kAddress = "127.62.5.1";
+constexpr std::uint16_t kPort = 8402;
+constexpr std::size_t kMegabyte = 1U << 20U;
+
+std::size_t
+residentBytes()
+{
+  std::ifstream in("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  in >> total >> resident;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+std::string
+frame(MessageType aType, const std::string& aPayload, std::size_t aSize)
+{
+  std::string data;
+  for (int i = 0; i < 4; ++i) {
+    data.push_back(static_cast<char>(aSize >> (8 * i)));
+  }
+  data.push_back(static_cast<char>(aType));
+  return data + aPayload;
+}
+
+std::string
+frame(MessageType aType, const std::string& aPayload)
+{
+  return frame(aType, aPayload, aPayload.size());
+}
+
+class Raw
+{
+public:
+  Raw()
+    : m_socket(m_context)
+  {
+    m_socket.connect({ boost::asio::ip::make_address(kAddress), kPort });
+    const timeval limit{ 4, 0 };
+    ::setsockopt(
+      m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+  void send(const std::string& aData)
+  {
+    ::send(m_socket.native_handle(), aData.data(), aData.size(), MSG_NOSIGNAL);
+  }
+  /// @returns true when the peer closes within 4 s
+  bool closed()
+  {
+    std::array<char, 4096> part{};
+    ssize_t size = 0;
+    while ((size = ::recv(
+              m_socket.native_handle(), part.data(), part.size(), 0)) > 0) {
+    }
+    return size == 0 || errno == ECONNRESET;
+  }
+
+private:
+  boost::asio::io_context m_context;
+  tcp::socket m_socket;
+};
+
+} // namespace
+
+class PeerLinkTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PeerLinkTest);
+  CPPUNIT_TEST(closesSilentStranger);
+  CPPUNIT_TEST(boundsFramesBeforeHello);
+  CPPUNIT_TEST(boundsMemoryOfClaimedLengths);
+  CPPUNIT_TEST(boundsStrangers);
+  CPPUNIT_TEST(survivesRandomFrames);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    m_context = std::make_unique<boost::asio::io_context>();
+    m_links = std::make_unique<PeerLinks>(*m_context, Hello{ "self", 1 });
+    PeerLinks::Handlers handlers;
+    handlers.onRequest = [this](const std::string&,
+                                MessageType aType,
+                                const std::string& aPayload,
+                                const PeerLinks::Reply&) {
+      onRequest(aType, aPayload);
+    };
+    handlers.onReply = [](const std::string&, MessageType, const std::string&) {
+    };
+    handlers.onLost = [](const std::string&,
+                         const std::vector<std::uint64_t>&) {};
+    CPPUNIT_ASSERT(!m_links->init(kAddress, kPort, std::move(handlers)));
+    m_thread = std::thread([this] { m_context->run(); });
+  }
+
+  void tearDown() override
+  {
+    m_links->shutdown();
+    m_context->stop();
+    m_thread.join();
+    m_links.reset();
+    m_context.reset();
+  }
+
+  // Guards against connections that never say who they are and stay for ever,
+  // also when they send pings.
+  void closesSilentStranger()
+  {
+    Raw silent;
+    Raw pinging;
+    const auto start = steady_clock::now();
+    pinging.send(frame(MessageType::Ping, "12345678"));
+    CPPUNIT_ASSERT(silent.closed());
+    CPPUNIT_ASSERT(pinging.closed());
+    CPPUNIT_ASSERT(steady_clock::now() - start < milliseconds(3500));
+    // A peer that sent Hello stays.
+    Raw peer;
+    peer.send(hello());
+    std::this_thread::sleep_for(milliseconds(2300));
+    peer.send(frame(MessageType::Cancel, encode(Cancel{ 5 })));
+    CPPUNIT_ASSERT(waitForDecoded(1));
+  }
+
+  // Guards against a stranger that makes the node read a large frame.
+  void boundsFramesBeforeHello()
+  {
+    const auto start = steady_clock::now();
+    Raw large;
+    large.send(frame(MessageType::Hello, "x", kMegabyte));
+    CPPUNIT_ASSERT(large.closed());
+    Raw wrong;
+    wrong.send(frame(MessageType::Cancel, encode(Cancel{ 5 })));
+    CPPUNIT_ASSERT(wrong.closed());
+    Raw nameless;
+    nameless.send(frame(MessageType::Hello, encode(Hello{})));
+    CPPUNIT_ASSERT(nameless.closed());
+    Raw over;
+    over.send(hello() + frame(MessageType::SubBatch, "x", kMaxFrameBytes + 1));
+    CPPUNIT_ASSERT(over.closed());
+    Raw echo;
+    echo.send(hello() + frame(MessageType::Ping, std::string(100000, 'p')));
+    CPPUNIT_ASSERT(echo.closed());
+    CPPUNIT_ASSERT(steady_clock::now() - start < milliseconds(1500));
+  }
+
+  // Guards against memory that is taken for the length that a header claims.
+  void boundsMemoryOfClaimedLengths()
+  {
+    ::malloc_trim(0);
+    const std::size_t before = residentBytes();
+    std::vector<std::unique_ptr<Raw>> peers;
+    for (int i = 0; i < 100; ++i) {
+      peers.push_back(std::make_unique<Raw>());
+      peers.back()->send(hello() +
+                         frame(MessageType::SubBatch, "x", kMaxFrameBytes));
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+    const std::size_t after = residentBytes();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(after - before),
+                           after < before + 40 * kMegabyte);
+    assertServes();
+  }
+
+  // Guards against strangers that use up the node's descriptors.
+  void boundsStrangers()
+  {
+    std::vector<std::unique_ptr<Raw>> strangers;
+    rlimit limit{};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    // Each connection takes two descriptors here, with its io_context more.
+    const std::size_t count = 1100;
+    if (limit.rlim_cur < count * 6) {
+      limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, count * 6);
+      CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &limit));
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+      strangers.push_back(std::make_unique<Raw>());
+    }
+    const auto start = steady_clock::now();
+    CPPUNIT_ASSERT(strangers.back()->closed());
+    CPPUNIT_ASSERT(steady_clock::now() - start < milliseconds(1000));
+    strangers.clear();
+    assertServes();
+  }
+
+  // Guards against a process that ends on malformed frames and payloads.
+  void survivesRandomFrames()
+  {
+    std::mt19937_64 random(11);
+    SubBatch batch;
+    batch.requestId = "q";
+    batch.body = "body";
+    batch.items.resize(3);
+    TicketReply reply;
+    reply.answer.parts.resize(2);
+    const std::vector<std::string> payloads = {
+      encode(batch), encode(reply), encode(SubReply{}), encode(TicketForward{})
+    };
+    for (int i = 0; i < 2000; ++i) {
+      std::string payload = payloads[random() % payloads.size()];
+      for (std::uint64_t n = random() % 6; n > 0; --n) {
+        payload[random() % payload.size()] = static_cast<char>(random());
+      }
+      payload.resize(random() % 3 == 0 ? random() % payload.size()
+                                       : payload.size());
+      const auto type = static_cast<MessageType>(random() % 16);
+      onRequest(type, payload);
+      if (i % 20 == 0) {
+        Raw raw;
+        raw.send((random() % 2 == 0 ? hello() : std::string()) +
+                 frame(type, payload) + payload);
+      }
+    }
+    assertServes();
+  }
+
+private:
+  static std::string hello()
+  {
+    return frame(MessageType::Hello, encode(Hello{ "peer", 3 }));
+  }
+
+  void onRequest(MessageType aType, const std::string& aPayload)
+  {
+    const bool good = decode<SubBatch>(aPayload).has_value() ||
+                      decode<TicketReply>(aPayload).has_value() ||
+                      decode<SubReply>(aPayload).has_value() ||
+                      decode<TicketForward>(aPayload).has_value();
+    m_decoded += good || aType == MessageType::Cancel ? 1 : 0;
+  }
+
+  bool waitForDecoded(int aCount)
+  {
+    for (int i = 0; i < 500 && m_decoded < aCount; ++i) {
+      std::this_thread::sleep_for(milliseconds(4));
+    }
+    return m_decoded >= aCount;
+  }
+
+  void assertServes()
+  {
+    // A refused stranger's place is free again once its close is read.
+    for (int i = 0; i < 50; ++i) {
+      const int before = m_decoded;
+      Raw peer;
+      peer.send(hello() + frame(MessageType::Cancel, encode(Cancel{ 5 })));
+      for (int n = 0; n < 25 && m_decoded == before; ++n) {
+        std::this_thread::sleep_for(milliseconds(4));
+      }
+      if (m_decoded > before) {
+        return;
+      }
+    }
+    CPPUNIT_FAIL("serves no more");
+  }
+
+  std::unique_ptr<boost::asio::io_context> m_context;
+  std::unique_ptr<PeerLinks> m_links;
+  std::thread m_thread;
+  std::atomic<int> m_decoded{ 0 };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerLinkTest);
