--- a/src/peer_link_p.h
+++ b/src/peer_link_p.h
@@ -56,6 +56,9 @@
 
   /// @returns frames that were not handed to the system yet
   std::uint32_t pending() const { return m_pending; }
+  /// Sets the largest payload to accept; on the stream's strand, or before the
+  /// stream starts.
+  void setFrameLimit(std::size_t aBytes) { m_frameLimit = aBytes; }
 
 private:
   struct Frame
@@ -67,7 +70,7 @@
 
   void open();
   void readHeader();
-  void readPayload(std::uint32_t aSize, MessageType aType);
+  void readPayload(std::size_t aLeft, MessageType aType);
   void onFrame(MessageType aType, std::string aPayload);
   void write();
   void watchProgress();
@@ -79,8 +82,10 @@
   OnClose m_onClose;
   std::array<unsigned char, 5> m_header{};
   std::string m_payload;
+  std::size_t m_frameLimit = kMaxFrameBytes;
   std::deque<Frame> m_queue;
   std::atomic<std::uint32_t> m_pending{ 0 };
+  std::size_t m_queued = 0; ///< payload bytes in m_queue
   bool m_open = false;
   bool m_writing = false;
   bool m_ended = false;
@@ -142,8 +147,18 @@
 private:
   using StreamPtr = std::shared_ptr<FrameStream>;
 
+  /// An accepted connection.
+  struct Served
+  {
+    StreamPtr stream;
+    bool greeted = false; ///< it sent a valid Hello
+  };
+
   void acceptNext();
   void serve(const StreamPtr& aStream);
+  bool admit(const StreamPtr& aStream);
+  void greet(const StreamPtr& aStream);
+  void closeUnlessGreeted(const StreamPtr& aStream);
   StreamPtr connectTo(const std::string& aHost,
                       const std::string& aAddress,
                       std::uint16_t aPort);
@@ -155,7 +170,9 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
   mutable std::mutex m_mutex; ///< guards the two containers
   std::map<std::string, StreamPtr> m_links;
-  std::map<FrameStream*, StreamPtr> m_served;
+  std::map<FrameStream*, Served> m_served;
+  std::size_t m_ungreeted = 0;
+  boost::asio::steady_timer m_acceptTimer;
   bool m_stopping = false;
 };
 
