--- a/tools/backend_standin.cpp
+++ b/tools/backend_standin.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <random>
 #include <set>
 #include <sstream>
@@ -42,6 +43,38 @@
 
 /// A body that starts with this text crashes the server that runs it.
 constexpr const char* kCrashMark = "crash!";
+/// Bodies that start with this text are unique; their runs are counted over
+/// all servers of the process.
+constexpr const char* kOnceMark = "once:";
+
+/// Runs of each unique body.
+class RunCounts
+{
+public:
+  void add(const std::string& aBody)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_counts[aBody];
+  }
+
+  /// @returns a JSON object, body to number of runs
+  std::string json()
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::string text = "{";
+    for (const auto& [body, count] : m_counts) {
+      text +=
+        (text.size() > 1 ? ",\"" : "\"") + body + "\":" + std::to_string(count);
+    }
+    return text + "}\n";
+  }
+
+private:
+  std::mutex m_mutex;
+  std::map<std::string, std::uint32_t> m_counts;
+};
+
+RunCounts gRuns;
 
 struct Options
 {
@@ -227,6 +260,7 @@
   Request m_request;
   std::shared_ptr<Response> m_response;
   bool m_running = false;
+  std::uint64_t m_run = 0; ///< number of the request that runs
 };
 
 void
@@ -407,6 +441,7 @@
   Stats& stats = server.stats;
   ++stats.running;
   m_running = true;
+  ++m_run;
   stats.peakRunning = std::max(stats.peakRunning, stats.running);
   if (stats.running > server.slots) {
     ++stats.slotViolations;
@@ -418,6 +453,9 @@
   }
   ++server.executions[std::string(m_request["Request-Id"]) + "/" +
                       std::string(m_request["Attempt"])];
+  if (m_request.body().rfind(kOnceMark, 0) == 0) {
+    gRuns.add(m_request.body());
+  }
   if (m_request.body().rfind(kCrashMark, 0) == 0) {
     server.crash();
     return;
@@ -439,16 +477,18 @@
 {
   m_stream.socket().async_wait(
     tcp::socket::wait_read,
-    [self = shared_from_this(),
-     incarnation = m_server->incarnation](beast::error_code aError) {
-      if (!self->m_running || incarnation != self->m_server->incarnation) {
+    [self = shared_from_this(), run = m_run](beast::error_code aError) {
+      // A wait of an earlier request must not look at the socket: the read of
+      // the next request owns it by now.
+      if (aError || !self->m_running || run != self->m_run) {
         return;
       }
-      beast::error_code readError;
+      beast::error_code error;
       char byte = 0;
+      self->m_stream.socket().non_blocking(true, error);
       const auto size = self->m_stream.socket().receive(
-        asio::buffer(&byte, 1), tcp::socket::message_peek, readError);
-      if (aError || readError || size == 0) {
+        asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+      if (size == 0 && error != asio::error::would_block) {
         self->m_running = false;
         --self->m_server->stats.running;
         ++self->m_server->stats.cancelled;
@@ -465,6 +505,8 @@
     return;
   }
   m_running = false;
+  beast::error_code ignored;
+  m_stream.socket().cancel(ignored);
   --server.stats.running;
   ++server.stats.completed;
   if (!server.warm && ++server.servedSinceStart >= server.options.warmAfter) {
@@ -512,8 +554,8 @@
     });
 }
 
-/// Answers GET /stats and POST /set?server=NAME&KEY=VALUE, where NAME may be
-/// a service, an address or * for all.
+/// Answers GET /stats, GET /runs and POST /set?server=NAME&KEY=VALUE, where
+/// NAME may be a service, an application, an address or * for all.
 class Control : public std::enable_shared_from_this<Control>
 {
 public:
@@ -572,6 +614,9 @@
       set(aTarget.substr(5));
       return "{}\n";
     }
+    if (aTarget == "/runs") {
+      return gRuns.json();
+    }
     std::string body = "[";
     for (const auto& server : m_servers) {
       std::promise<std::string> promise;
@@ -600,8 +645,10 @@
       }
     }
     for (const auto& server : m_servers) {
+      const std::string application =
+        server->service.substr(0, server->service.find('/'));
       if (target != "*" && target != server->name &&
-          target != server->service) {
+          target != server->service && target != application) {
         continue;
       }
       for (const auto& [key, value] : values) {
