Bound retries and hedges by budgets; answer early by learnt latency

Free retries with no target left pause 20 ms, doubling to 160 ms, within the deadline. Cancelled attempts count with the time they waited; leaving them out would pull the estimate down with each hedge. - hedges: idempotent classes only, off/fixed/learnt, another server only, one per part, budgeted.

--- a/src/backend_p.h
+++ b/src/backend_p.h
@@ -48,6 +48,7 @@
   std::uint64_t snapshot = 0;
   std::uint64_t incarnation = 0; ///< 0 when the server sent none
   Duration latency{ 0 };
+  bool cancelled = false; ///< this node closed the connection
 };
 
 /// Sends requests to backend servers. Safe from any thread.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -73,7 +73,7 @@
 
   // SubSenderI
   void send(const Host& aHost, SubBatch aBatch) override;
-  void cancel(const Host& aHost, std::uint64_t aQuery) override;
+  void cancel(const Host& aHost, const Cancel& aCancel) override;
 
   void onPeerRequest(const std::string& aHost,
                      MessageType aType,
@@ -289,17 +289,17 @@
 }
 
 void
-Node::Impl::cancel(const Host& aHost, std::uint64_t aQuery)
+Node::Impl::cancel(const Host& aHost, const Cancel& aCancel)
 {
   if (aHost.name == settings.host) {
-    slots.cancel(settings.host, aQuery);
+    slots.cancel(settings.host, aCancel);
     return;
   }
   links.send(aHost.name,
              aHost.address,
              aHost.peerPort,
              MessageType::Cancel,
-             encode(Cancel{ aQuery }),
+             encode(aCancel),
              0);
 }
 
@@ -318,7 +318,7 @@
     }
   } else if (aType == MessageType::Cancel) {
     if (const auto cancelled = decode<Cancel>(aPayload)) {
-      slots.cancel(aHost, cancelled->query);
+      slots.cancel(aHost, *cancelled);
       return;
     }
   }
--- a/src/query.cpp
+++ b/src/query.cpp
@@ -14,8 +14,23 @@
 
 /// Time kept back from the deadline to merge and write the answer.
 constexpr milliseconds kAnswerReserve{ 2 };
-/// Attempts at one part, the first included.
-constexpr std::size_t kMaxAttempts = 4;
+/// Attempts at one part that reached a server, the first included.
+constexpr std::uint32_t kMaxServerAttempts = 4;
+/// Attempts at one part in all; a bound on memory, not on load.
+constexpr std::size_t kMaxAttempts = 64;
+/// Pause before targets that refused without load are asked again; a grant
+/// for a cold server or a new view takes some tens of milliseconds.
+constexpr milliseconds kFirstPause{ 20 };
+constexpr milliseconds kLongestPause{ 160 };
+/// Services without an answer that a partial answer names in its reason.
+constexpr std::size_t kMaxNamed = 5;
+
+/// @returns true when a server may have run the request
+bool
+ran(SubStatus aStatus)
+{
+  return aStatus == SubStatus::Lost || aStatus == SubStatus::TimedOut;
+}
 
 std::uint64_t
 fingerprintOf(const QueryRequest& aRequest)
@@ -37,7 +52,7 @@
   , m_requestId(std::move(aRequestId))
   , m_request(std::move(aRequest))
   , m_done(std::move(aDone))
-  , m_deadlineTimer(aEngine.m_context)
+  , m_timer(aEngine.m_context)
 {
 }
 
@@ -53,26 +68,32 @@
     finish(lock);
     return;
   }
-  m_deadlineTimer.expires_after(m_deadline - m_start);
-  auto self = shared_from_this();
-  m_deadlineTimer.async_wait([self](const boost::system::error_code& aError) {
-    if (!aError) {
-      self->onDeadline();
-    }
-  });
-  for (std::uint32_t part = 0; part < m_parts.size(); ++part) {
-    if (attempt(part, batches)) {
-      ++m_engine.m_counters.firstAttempts;
-    }
-  }
+  sendFirst(batches);
   if (isSettled()) {
     finish(lock);
     return;
   }
+  arm();
   lock.unlock();
   sendAll(batches);
 }
 
+void
+Query::sendFirst(Batches& aBatches)
+{
+  std::size_t sent = 0;
+  for (std::uint32_t part = 0; part < m_parts.size(); ++part) {
+    sent += attempt(part, Kind::First, aBatches) ? 1 : 0;
+  }
+  m_engine.m_counters.firstAttempts += sent;
+  const RuleSet& rules = *m_view->rules;
+  const HedgeRule& hedge = rules.hedgeOf(m_class.name);
+  m_learnt->onFirstAttempts(sent, rules.retryOf(m_class.name), hedge);
+  if (m_class.idempotent) {
+    m_hedgeDelay = m_learnt->hedgeDelay(hedge);
+  }
+}
+
 /// Reads class, snapshot and services from the view.
 /// @returns false when the query is refused
 bool
@@ -89,6 +110,7 @@
     return false;
   }
   m_class = found->second;
+  m_learnt = m_engine.classState(m_class.name);
   milliseconds allowed = m_class.deadline;
   if (m_request.deadline.count() > 0) {
     allowed = std::min(allowed, m_request.deadline);
@@ -115,22 +137,31 @@
 /// Adds one attempt at a part to the batch of the chosen holder.
 /// @returns false when no target is left
 bool
-Query::attempt(std::uint32_t aPart, Batches& aBatches)
+Query::attempt(std::uint32_t aPart, Kind aKind, Batches& aBatches)
 {
   Part& part = m_parts[aPart];
-  std::vector<Target> tried;
+  SlotChooser::Limits limits = part.limits;
   for (const Attempt& earlier : part.attempts) {
-    tried.push_back(earlier.target);
+    if (earlier.running) {
+      limits.tried.push_back(earlier.target);
+      if (aKind == Kind::Hedge) {
+        limits.barredServers.push_back(earlier.target.server);
+      }
+    }
   }
-  const auto target = m_engine.m_chooser.choose(*m_view, part.service, tried);
+  const auto target = m_engine.m_chooser.choose(*m_view, part.service, limits);
   if (!target) {
     m_error = m_error == Errc::Ok ? Errc::Unreachable : m_error;
     return false;
   }
   Attempt next;
-  next.number = static_cast<std::uint32_t>(part.attempts.size());
+  next.number =
+    m_firstNumber + static_cast<std::uint32_t>(part.attempts.size());
   next.target = *target;
+  next.kind = aKind;
+  next.sent = m_engine.m_clock.now();
   part.attempts.push_back(next);
+  part.retryAt.reset();
 
   const ServiceRule& service = m_view->rules->services[part.service];
   const std::string& server = service.servers[target->server].name;
@@ -173,30 +204,114 @@
   }
 }
 
-/// A retry is safe when the attempt can't have run, or may run twice.
-bool
-Query::mayRetry(const Part& aPart, SubStatus aStatus) const
+/// Ends the load bookkeeping of an attempt.
+void
+Query::release(const Part& aPart, Attempt& aAttempt, std::uint32_t aQueued)
 {
-  const bool ran = aStatus == SubStatus::Lost || aStatus == SubStatus::TimedOut;
-  return aPart.attempts.size() < kMaxAttempts && (!ran || m_class.idempotent) &&
-         m_engine.m_clock.now() < m_deadline;
+  aAttempt.running = false;
+  const ServiceRule& service = m_view->rules->services[aPart.service];
+  m_engine.m_chooser.onEnded(service.servers[aAttempt.target.server].name,
+                             m_view->hosts.hosts[aAttempt.target.host].name,
+                             aQueued);
 }
 
 void
 Query::fail(std::uint32_t aPart,
-            Attempt& aAttempt,
-            SubStatus aStatus,
-            Errc aError,
+            std::size_t aIndex,
+            const Failure& aFailure,
             Batches& aBatches)
 {
   Part& part = m_parts[aPart];
-  aAttempt.running = false;
-  m_error = aError;
-  if (aStatus == SubStatus::Lost || aStatus == SubStatus::TimedOut) {
+  const Target target = part.attempts[aIndex].target;
+  m_error = aFailure.error;
+  part.limits.tried.push_back(target);
+  part.serverAttempts += aFailure.reachedServer ? 1 : 0;
+  if (ran(aFailure.status)) {
     part.mayHaveRun = true;
   }
-  if (mayRetry(part, aStatus) && attempt(aPart, aBatches)) {
-    ++m_engine.m_counters.retries;
+  if (aFailure.status == SubStatus::NoSnapshot) {
+    part.limits.barredServers.push_back(target.server);
+  }
+  part.limits.preferOwner =
+    part.limits.preferOwner || aFailure.error == Errc::NotHolder;
+  const bool other = std::any_of(part.attempts.begin(),
+                                 part.attempts.end(),
+                                 [](const Attempt& a_) { return a_.running; });
+  if (!part.answered && !other) {
+    retry(aPart, aFailure, aBatches);
+  }
+}
+
+/// Sends a retry, or plans one after a pause. Three kinds of failure differ in
+/// what the first attempt cost:
+/// - no server received it (wrong holder, no grant, shed or expired in a
+///   queue, unsent): the retry takes its place and is not charged;
+/// - a server refused it with 409 before any work: not charged, but each
+///   server is asked once at most before a pause;
+/// - a server worked on it, or shed it: charged to the class's budget.
+void
+Query::retry(std::uint32_t aPart, const Failure& aFailure, Batches& aBatches)
+{
+  Part& part = m_parts[aPart];
+  if (m_engine.m_clock.now() >= m_deadline ||
+      (ran(aFailure.status) && !m_class.idempotent) ||
+      part.serverAttempts >= kMaxServerAttempts ||
+      part.attempts.size() >= kMaxAttempts) {
+    return;
+  }
+  const bool charged =
+    aFailure.reachedServer && aFailure.status != SubStatus::NoSnapshot;
+  if (charged && !m_learnt->takeRetry()) {
+    ++m_engine.m_counters.retriesDenied;
+    return;
+  }
+  EngineCounters& counters = m_engine.m_counters;
+  if (attempt(aPart, Kind::Retry, aBatches)) {
+    ++(charged ? counters.retries : counters.freeRetries);
+  } else if (!charged) {
+    pause(part);
+  }
+}
+
+/// Lets every target be tried again after a pause, while the deadline allows.
+void
+Query::pause(Part& aPart)
+{
+  const TimePoint due =
+    m_engine.m_clock.now() +
+    std::min(kFirstPause * (1U << std::min(aPart.waits, 8U)), kLongestPause);
+  if (due < m_deadline) {
+    ++aPart.waits;
+    aPart.retryAt = due;
+  }
+}
+
+/// Merges the first good reply of a part and cancels its other attempts.
+void
+Query::takeAnswer(std::uint32_t aPart, std::size_t aIndex, std::string aBody)
+{
+  Part& part = m_parts[aPart];
+  part.answered = true;
+  part.retryAt.reset();
+  part.body = std::move(aBody);
+  const TimePoint now = m_engine.m_clock.now();
+  const Attempt& winner = part.attempts[aIndex];
+  if (winner.kind == Kind::First) {
+    m_learnt->onAttempt(now - winner.sent);
+  } else if (winner.kind == Kind::Hedge) {
+    ++m_engine.m_counters.hedgesWon;
+  }
+  m_learnt->onPart(now - part.attempts.front().sent);
+  for (Attempt& loser : part.attempts) {
+    if (!loser.running) {
+      continue;
+    }
+    if (loser.kind == Kind::First) {
+      m_learnt->onAttempt(now - loser.sent);
+    }
+    release(part, loser, 0);
+    m_engine.m_sender.cancel(m_view->hosts.hosts[loser.target.host],
+                             { m_id, aPart, loser.number });
   }
 }
 
@@ -205,41 +320,43 @@
 {
   Batches batches;
   std::unique_lock<std::mutex> lock(m_mutex);
+  const std::size_t index = aReply.attempt - m_firstNumber;
   if (m_finished || aReply.part >= m_parts.size() ||
-      aReply.attempt >= m_parts[aReply.part].attempts.size()) {
+      aReply.attempt < m_firstNumber ||
+      index >= m_parts[aReply.part].attempts.size()) {
     ++m_engine.m_counters.droppedReplies;
     return;
   }
   Part& part = m_parts[aReply.part];
-  Attempt& attempt = part.attempts[aReply.attempt];
-  const ServiceRule& service = m_view->rules->services[part.service];
-  const std::string& host = m_view->hosts.hosts[attempt.target.host].name;
-  if (!attempt.running || host != aHost) {
+  Attempt& attempt = part.attempts[index];
+  if (!attempt.running ||
+      m_view->hosts.hosts[attempt.target.host].name != aHost) {
     ++m_engine.m_counters.droppedReplies;
     return;
   }
-  m_engine.m_chooser.onEnded(
-    service.servers[attempt.target.server].name, host, aReply.queued);
+  release(part, attempt, aReply.queued);
   if (aReply.status == SubStatus::Done && aReply.snapshot == m_snapshot) {
-    attempt.running = false;
-    if (!part.answered) {
-      part.answered = true;
-      part.body = aReply.body;
-    }
-  } else if (aReply.status == SubStatus::Done) {
-    // A reply of another snapshot isn't merged; the request did run.
-    fail(aReply.part, attempt, SubStatus::Lost, Errc::NoSnapshot, batches);
+    takeAnswer(aReply.part, index, aReply.body);
   } else {
-    fail(aReply.part,
-         attempt,
-         aReply.status,
-         static_cast<Errc>(aReply.error),
-         batches);
+    Failure failure{ aReply.status,
+                     static_cast<Errc>(aReply.error),
+                     aReply.reachedServer };
+    if (aReply.status == SubStatus::Done) {
+      // A reply of another snapshot isn't merged; the request did run.
+      failure = { SubStatus::Lost, Errc::NoSnapshot, true };
+      part.limits.barredServers.push_back(attempt.target.server);
+    }
+    if (failure.error == Errc::NoSnapshot && startOver(batches)) {
+      part.retryAt.reset();
+    } else {
+      fail(aReply.part, index, failure, batches);
+    }
   }
   if (isSettled()) {
     finish(lock);
     return;
   }
+  arm();
   lock.unlock();
   sendAll(batches);
 }
@@ -252,19 +369,18 @@
   if (m_finished || !m_view) {
     return;
   }
-  const SubStatus status = aUnsent ? SubStatus::NotRun : SubStatus::Lost;
+  const Failure failure{ aUnsent ? SubStatus::NotRun : SubStatus::Lost,
+                         Errc::Unreachable,
+                         !aUnsent };
   for (std::uint32_t p = 0; p < m_parts.size(); ++p) {
     // Retries add attempts at other hosts while this loop runs.
     const std::size_t count = m_parts[p].attempts.size();
     for (std::size_t a = 0; a < count; ++a) {
-      const Attempt earlier = m_parts[p].attempts[a];
-      const Host& host = m_view->hosts.hosts[earlier.target.host];
-      if (earlier.running && host.name == aHost) {
-        const ServiceRule& service =
-          m_view->rules->services[m_parts[p].service];
-        m_engine.m_chooser.onEnded(
-          service.servers[earlier.target.server].name, aHost, 0);
-        fail(p, m_parts[p].attempts[a], status, Errc::Unreachable, batches);
+      Attempt& earlier = m_parts[p].attempts[a];
+      if (earlier.running &&
+          m_view->hosts.hosts[earlier.target.host].name == aHost) {
+        release(m_parts[p], earlier, 0);
+        fail(p, a, failure, batches);
       }
     }
   }
@@ -272,6 +388,7 @@
     finish(lock);
     return;
   }
+  arm();
   lock.unlock();
   sendAll(batches);
 }
@@ -282,19 +399,17 @@
 {
   return std::all_of(m_parts.begin(), m_parts.end(), [](const Part& aPart) {
     return aPart.answered ||
-           std::none_of(aPart.attempts.begin(),
-                        aPart.attempts.end(),
-                        [](const Attempt& a_) { return a_.running; });
+           (!aPart.retryAt &&
+            std::none_of(aPart.attempts.begin(),
+                         aPart.attempts.end(),
+                         [](const Attempt& a_) { return a_.running; }));
   });
 }
 
+/// Marks what still runs when the query ends without it.
 void
-Query::onDeadline()
+Query::expire()
 {
-  std::unique_lock<std::mutex> lock(m_mutex);
-  if (m_finished) {
-    return;
-  }
   m_error = Errc::TimedOut;
   for (Part& part : m_parts) {
     for (const Attempt& attempt : part.attempts) {
@@ -302,7 +417,53 @@
       part.mayHaveRun = part.mayHaveRun || attempt.running;
     }
   }
-  finish(lock);
+}
+
+void
+Query::onTimer()
+{
+  Batches batches;
+  std::unique_lock<std::mutex> lock(m_mutex);
+  if (m_finished || !m_view) {
+    return;
+  }
+  const TimePoint now = m_engine.m_clock.now();
+  const auto early = earlyDue();
+  if (now >= m_deadline || (early && now >= *early)) {
+    m_early = now < m_deadline;
+    m_engine.m_counters.earlyAnswers += m_early ? 1 : 0;
+    expire();
+    finish(lock);
+    return;
+  }
+  runDue(now, batches);
+  if (isSettled()) {
+    finish(lock);
+    return;
+  }
+  m_armed = TimePoint::max();
+  arm();
+  lock.unlock();
+  sendAll(batches);
+}
+
+/// Sets the timer when something is due before it fires.
+void
+Query::arm()
+{
+  const TimePoint due = nextDue();
+  if (due >= m_armed) {
+    return;
+  }
+  m_armed = due;
+  m_timer.expires_after(
+    std::max(due - m_engine.m_clock.now(), Duration::zero()));
+  m_timer.async_wait(
+    [self = shared_from_this()](const boost::system::error_code& aError) {
+      if (!aError) {
+        self->onTimer();
+      }
+    });
 }
 
 Outcome
@@ -321,6 +482,24 @@
   return mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
 }
 
+/// @returns a list of services without an answer, for the reason
+std::string
+Query::lacking() const
+{
+  std::string text;
+  std::size_t count = 0;
+  for (const Part& part : m_parts) {
+    if (!part.answered && ++count <= kMaxNamed) {
+      text += text.empty() ? "; lacking " : ", ";
+      text += m_view->rules->services[part.service].name;
+    }
+  }
+  if (count > kMaxNamed) {
+    text += " and " + std::to_string(count - kMaxNamed) + " more";
+  }
+  return text;
+}
+
 QueryAnswer
 Query::makeAnswer() const
 {
@@ -341,29 +520,43 @@
   }
   answer.outcome = outcome(answer.coverage);
   if (answer.outcome != Outcome::Whole) {
-    answer.reason = make_error_code(m_error).message();
+    answer.reason = m_early ? "answered early, past the learnt latency"
+                            : make_error_code(m_error).message();
+    answer.reason += lacking();
   }
   return answer;
 }
 
-void
-Query::finish(std::unique_lock<std::mutex>& aLock)
+/// Ends every running attempt.
+/// @returns the hosts to cancel at
+std::set<std::uint32_t>
+Query::releaseAll()
 {
-  m_finished = true;
-  m_deadlineTimer.cancel();
-  std::map<std::uint32_t, bool> cancelAt;
-  for (const Part& part : m_parts) {
-    for (const Attempt& attempt : part.attempts) {
+  std::set<std::uint32_t> hosts;
+  const TimePoint now = m_engine.m_clock.now();
+  for (Part& part : m_parts) {
+    if (!part.answered && !part.attempts.empty()) {
+      m_learnt->onPart(now - part.attempts.front().sent);
+    }
+    for (Attempt& attempt : part.attempts) {
       if (attempt.running) {
-        cancelAt[attempt.target.host] = true;
-        const ServiceRule& service = m_view->rules->services[part.service];
-        m_engine.m_chooser.onEnded(
-          service.servers[attempt.target.server].name,
-          m_view->hosts.hosts[attempt.target.host].name,
-          0);
+        if (attempt.kind == Kind::First) {
+          m_learnt->onAttempt(now - attempt.sent);
+        }
+        hosts.insert(attempt.target.host);
+        release(part, attempt, 0);
       }
     }
   }
+  return hosts;
+}
+
+void
+Query::finish(std::unique_lock<std::mutex>& aLock)
+{
+  m_finished = true;
+  m_timer.cancel();
+  const std::set<std::uint32_t> cancelAt = releaseAll();
   const QueryAnswer answer = makeAnswer();
   const QueryEngine::Done done = std::move(m_done);
   const auto took =
@@ -380,8 +573,8 @@
              .add("revision", answer.revision)
              .add("took_us", took.count())
              .addText("reason", answer.reason));
-  for (const auto& entry : cancelAt) {
-    m_engine.m_sender.cancel(m_view->hosts.hosts[entry.first], m_id);
+  for (const std::uint32_t host : cancelAt) {
+    m_engine.m_sender.cancel(m_view->hosts.hosts[host], { m_id });
   }
   m_engine.ended(m_id, answer);
   done(answer);
--- a/src/query_engine.cpp
+++ b/src/query_engine.cpp
@@ -6,6 +6,82 @@
 #include "query_p.h"
 
 namespace toucanridge {
+namespace {
+
+constexpr double kTailPercentile = 0.99;
+constexpr double kDefaultPercentile = 0.95;
+
+} // namespace
+
+ClassState::ClassState(const ClockI& aClock)
+  : m_clock(aClock)
+  , m_attempts(aClock, kDefaultPercentile)
+  , m_parts(aClock, kTailPercentile)
+{
+}
+
+void
+ClassState::onFirstAttempts(std::size_t aCount,
+                            const RetryRule& aRetry,
+                            const HedgeRule& aHedge)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_retries.earn(aCount, aRetry.budget);
+  m_hedges.earn(aCount, aHedge.budget);
+  if (m_attempts.percentile() != aHedge.percentile) {
+    m_attempts = LatencyTracker(m_clock, aHedge.percentile);
+  }
+}
+
+bool
+ClassState::takeRetry()
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_retries.take();
+}
+
+bool
+ClassState::takeHedge()
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_hedges.take();
+}
+
+void
+ClassState::onAttempt(Duration aLatency)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_attempts.add(aLatency);
+}
+
+void
+ClassState::onPart(Duration aLatency)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_parts.add(aLatency);
+}
+
+std::optional<Duration>
+ClassState::hedgeDelay(const HedgeRule& aHedge) const
+{
+  switch (aHedge.mode) {
+    case HedgeRule::Mode::Off:
+      return std::nullopt;
+    case HedgeRule::Mode::Fixed:
+      return aHedge.delay;
+    case HedgeRule::Mode::Learnt:
+      break;
+  }
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_attempts.value();
+}
+
+std::optional<Duration>
+ClassState::tail() const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_parts.value();
+}
 
 QueryEngine::QueryEngine(boost::asio::io_context& aContext,
                          const ClockI& aClock,
@@ -51,6 +127,25 @@
   query->start();
 }
 
+std::shared_ptr<ClassState>
+QueryEngine::classState(const std::string& aClass)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  auto& found = m_classes[aClass];
+  if (!found) {
+    found = std::make_shared<ClassState>(m_clock);
+  }
+  return found;
+}
+
+void
+QueryEngine::runDue()
+{
+  for (const auto& query : all()) {
+    query->onTimer();
+  }
+}
+
 std::shared_ptr<Query>
 QueryEngine::find(std::uint64_t aId) const
 {
--- a/src/query_engine_p.h
+++ b/src/query_engine_p.h
@@ -9,12 +9,15 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <boost/asio.hpp>
 
+#include "budget_p.h"
 #include "clock_p.h"
+#include "latency_p.h"
 #include "slot_chooser_p.h"
 #include "toucanridge/toucanridge.h"
 #include "view_p.h"
@@ -28,7 +31,7 @@
 public:
   virtual ~SubSenderI() = default;
   virtual void send(const Host& aHost, SubBatch aBatch) = 0;
-  virtual void cancel(const Host& aHost, std::uint64_t aQuery) = 0;
+  virtual void cancel(const Host& aHost, const Cancel& aCancel) = 0;
 };
 
 /// Counters of the engine since start.
@@ -41,10 +44,48 @@
   std::atomic<std::uint64_t> unknown{ 0 };
   std::atomic<std::uint64_t> firstAttempts{ 0 };
   std::atomic<std::uint64_t> retries{ 0 };
+  std::atomic<std::uint64_t> freeRetries{ 0 };   ///< no server had received it
+  std::atomic<std::uint64_t> retriesDenied{ 0 }; ///< budget used up
   std::atomic<std::uint64_t> hedges{ 0 };
+  std::atomic<std::uint64_t> hedgesWon{ 0 };
+  std::atomic<std::uint64_t> hedgesDenied{ 0 };
+  std::atomic<std::uint64_t> earlyAnswers{ 0 };
+  std::atomic<std::uint64_t> restarts{ 0 }; ///< begun again on a new snapshot
   std::atomic<std::uint64_t> droppedReplies{ 0 };
 };
 
+/// What is learnt and allowed for one query class.
+class ClassState
+{
+public:
+  explicit ClassState(const ClockI& aClock);
+
+  /// Takes over the class's rules and earns tokens for first attempts.
+  void onFirstAttempts(std::size_t aCount,
+                       const RetryRule& aRetry,
+                       const HedgeRule& aHedge);
+  bool takeRetry();
+  bool takeHedge();
+
+  /// Records the latency of a first attempt.
+  void onAttempt(Duration aLatency);
+  /// Records the time from the first attempt at a part to its good reply.
+  void onPart(Duration aLatency);
+
+  /// @returns nothing when hedges are off or the percentile isn't known yet
+  std::optional<Duration> hedgeDelay(const HedgeRule& aHedge) const;
+  /// @returns p99 of the parts' latency, or nothing when it isn't known yet
+  std::optional<Duration> tail() const;
+
+private:
+  const ClockI& m_clock;
+  mutable std::mutex m_mutex; ///< guards what follows
+  TokenBudget m_retries;
+  TokenBudget m_hedges;
+  LatencyTracker m_attempts;
+  LatencyTracker m_parts;
+};
+
 class Query;
 
 class QueryEngine
@@ -73,6 +114,10 @@
   void onLinkLost(const std::string& aHost,
                   const std::vector<std::uint64_t>& aUnsent);
 
+  /// Runs the work of every query that is due by the clock. Timers do this for
+  /// each query; tests on a virtual clock call it instead.
+  void runDue();
+
   /// Refuses new queries from now on.
   void drain() { m_draining = true; }
 
@@ -84,6 +129,7 @@
 private:
   friend class Query;
 
+  std::shared_ptr<ClassState> classState(const std::string& aClass);
   std::shared_ptr<Query> find(std::uint64_t aId) const;
   std::vector<std::shared_ptr<Query>> all() const;
   void ended(std::uint64_t aId, const QueryAnswer& aAnswer);
@@ -98,7 +144,8 @@
   std::atomic<std::uint64_t> m_nextId{ 1 };
   std::atomic<bool> m_draining{ false };
   EngineCounters m_counters;
-  mutable std::mutex m_mutex; ///< guards m_queries
+  mutable std::mutex m_mutex; ///< guards m_queries and m_classes
+  std::map<std::string, std::shared_ptr<ClassState>> m_classes;
   std::map<std::uint64_t, std::shared_ptr<Query>> m_queries;
 };
 
--- a/src/query_p.h
+++ b/src/query_p.h
@@ -4,6 +4,8 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,12 +27,22 @@
   void start();
   void onReply(const std::string& aHost, const SubReply& aReply);
   void onLinkLost(const std::string& aHost, bool aUnsent);
+  /// Does what is due by the clock: deadline, early answer, hedges, retries.
+  void onTimer();
 
 private:
+  enum class Kind : std::uint8_t
+  {
+    First,
+    Retry,
+    Hedge,
+  };
   struct Attempt
   {
     std::uint32_t number = 0;
     Target target;
+    Kind kind = Kind::First;
+    TimePoint sent;
     bool running = true;
   };
   struct Part
@@ -38,26 +50,51 @@
     std::size_t service = 0; ///< index into RuleSet::services
     bool answered = false;
     bool mayHaveRun = false;
+    bool hedged = false;
+    std::uint32_t serverAttempts = 0; ///< attempts that reached a server
+    std::uint32_t waits = 0;          ///< pauses before a retry so far
+    std::optional<TimePoint> retryAt; ///< end of such a pause
     std::string body;
     std::vector<Attempt> attempts;
+    SlotChooser::Limits limits;
   };
   /// Batches to send after the mutex is released, by host index.
   using Batches = std::map<std::uint32_t, SubBatch>;
 
+  /// How an attempt failed.
+  struct Failure
+  {
+    SubStatus status = SubStatus::Lost;
+    Errc error = Errc::Ok;
+    bool reachedServer = true;
+  };
+
   bool plan();
-  void refuse(Errc aReason);
-  bool attempt(std::uint32_t aPart, Batches& aBatches);
+  void sendFirst(Batches& aBatches);
+  bool attempt(std::uint32_t aPart, Kind aKind, Batches& aBatches);
   void sendAll(Batches& aBatches);
   void fail(std::uint32_t aPart,
-            Attempt& aAttempt,
-            SubStatus aStatus,
-            Errc aError,
+            std::size_t aIndex,
+            const Failure& aFailure,
             Batches& aBatches);
-  bool mayRetry(const Part& aPart, SubStatus aStatus) const;
+  void retry(std::uint32_t aPart, const Failure& aFailure, Batches& aBatches);
+  void pause(Part& aPart);
+  void takeAnswer(std::uint32_t aPart, std::size_t aIndex, std::string aBody);
+  void release(const Part& aPart, Attempt& aAttempt, std::uint32_t aQueued);
   bool isSettled() const;
-  void onDeadline();
+  void expire();
+  void arm();
+
+  // query_timing.cpp
+  std::optional<TimePoint> hedgeDue(const Part& aPart) const;
+  std::optional<TimePoint> earlyDue() const;
+  TimePoint nextDue() const;
+  void runDue(TimePoint aNow, Batches& aBatches);
+  bool startOver(Batches& aBatches);
   /// Ends the query; the mutex is held by aLock and released.
   void finish(std::unique_lock<std::mutex>& aLock);
+  std::set<std::uint32_t> releaseAll();
+  std::string lacking() const;
   QueryAnswer makeAnswer() const;
   Outcome outcome(const Coverage& aCoverage) const;
 
@@ -66,15 +103,23 @@
   const std::string m_requestId;
   const QueryRequest m_request;
   QueryEngine::Done m_done;
+  std::shared_ptr<ClassState> m_learnt;
 
   std::mutex m_mutex;
-  boost::asio::steady_timer m_deadlineTimer;
+  boost::asio::steady_timer m_timer;
   ViewPtr m_view;
   ClassRule m_class;
   std::uint64_t m_snapshot = 0;
   std::uint64_t m_fingerprint = 0;
   TimePoint m_start;
   TimePoint m_deadline;
+  TimePoint m_armed = TimePoint::max(); ///< when the timer fires
+  std::optional<Duration> m_hedgeDelay;
+  /// Number of the first attempt at each part; rises when the query starts
+  /// over, so that replies to earlier attempts match none.
+  std::uint32_t m_firstNumber = 0;
+  bool m_startedOver = false;
+  bool m_early = false;
   std::vector<Part> m_parts;
   Errc m_error = Errc::Ok; ///< of the last failed attempt
   bool m_finished = false;
--- a/src/slot_chooser.cpp
+++ b/src/slot_chooser.cpp
@@ -14,12 +14,13 @@
 std::optional<Target>
 SlotChooser::choose(const View& aView,
                     std::size_t aService,
-                    const std::vector<Target>& aTried)
+                    const Limits& aLimits)
 {
   struct Candidate
   {
     Target target;
     std::uint32_t slots = 0;
+    bool owner = false; ///< holds slot 0
   };
   std::vector<Candidate> candidates;
   const ServiceRule& service = aView.rules->services[aService];
@@ -32,7 +33,9 @@
     const auto same = [&](const Target& aTarget) {
       return aTarget.server == place.server && aTarget.host == host;
     };
-    if (std::any_of(aTried.begin(), aTried.end(), same) ||
+    const auto& barred = aLimits.barredServers;
+    if (std::any_of(aLimits.tried.begin(), aLimits.tried.end(), same) ||
+        std::find(barred.begin(), barred.end(), place.server) != barred.end() ||
         !m_isAlive(aView.hosts.hosts[host].name)) {
       continue;
     }
@@ -42,14 +45,15 @@
       });
     if (known != candidates.end()) {
       ++known->slots;
+      known->owner = known->owner || place.slot == 0;
     } else {
-      candidates.push_back({ { place.server, host }, 1 });
+      candidates.push_back({ { place.server, host }, 1, place.slot == 0 });
     }
   }
   // A server that has failed this part already is the last choice.
   const auto failedServer = [&](const Candidate& aCandidate) {
     return std::any_of(
-      aTried.begin(), aTried.end(), [&](const Target& aTarget) {
+      aLimits.tried.begin(), aLimits.tried.end(), [&](const Target& aTarget) {
         return aTarget.server == aCandidate.target.server;
       });
   };
@@ -60,12 +64,17 @@
   for (const Candidate& candidate : candidates) {
     const Key key{ service.servers[candidate.target.server].name,
                    aView.hosts.hosts[candidate.target.host].name };
-    const auto found = m_loads.find(key);
-    const Load load = found == m_loads.end() ? Load{} : found->second;
+    Load& load = m_loads[key];
     constexpr double kFailedPenalty = 1000.0;
+    constexpr double kNotOwnerPenalty = 100.0;
     const double value =
-      static_cast<double>(load.outstanding + load.queued) / candidate.slots +
-      (failedServer(candidate) ? kFailedPenalty : 0.0);
+      (load.outstanding + load.queued) / candidate.slots +
+      (failedServer(candidate) ? kFailedPenalty : 0.0) +
+      (aLimits.preferOwner && !candidate.owner ? kNotOwnerPenalty : 0.0);
+    // Only a reply renews the reported length, so without decay a target that
+    // once reported a long queue would not be chosen again while others idle.
+    constexpr double kDecay = 0.8;
+    load.queued *= kDecay;
     if (value < bestLoad) {
       bestLoad = value;
       best = candidate.target;
--- a/src/slot_chooser_p.h
+++ b/src/slot_chooser_p.h
@@ -32,13 +32,22 @@
 
   SlotChooser(std::uint64_t aSeed, IsAlive aIsAlive);
 
+  /// What a choice must keep to.
+  struct Limits
+  {
+    std::vector<Target> tried;                ///< not to choose again
+    std::vector<std::uint32_t> barredServers; ///< indexes of servers
+    /// Prefers holders of slot 0: they may use a server that is not known to
+    /// be warm.
+    bool preferOwner = false;
+  };
+
   /// Chooses the least loaded pair of server and holder.
   /// @param[in] aService index into RuleSet::services
-  /// @param[in] aTried targets not to choose again
   /// @returns nothing when no other target is left
   std::optional<Target> choose(const View& aView,
                                std::size_t aService,
-                               const std::vector<Target>& aTried);
+                               const Limits& aLimits);
 
   /// Records a sent sub-request.
   void onSent(const std::string& aServer, const std::string& aHost);
@@ -52,7 +61,7 @@
   struct Load
   {
     std::uint32_t outstanding = 0;
-    std::uint32_t queued = 0;
+    double queued = 0; ///< as last reported, decays with each choice
   };
   using Key = std::pair<std::string, std::string>;
 
--- a/src/slot_table.cpp
+++ b/src/slot_table.cpp
@@ -200,8 +200,8 @@
     const SubTask& task = aSend.work.task;
     slot.busy = true;
     slot.handle = 0;
-    slot.origin = task.origin;
-    slot.query = task.batch->query;
+    slot.cancelled = false;
+    slot.task = task;
     aSend.slot = slot.index;
     aSend.call = { key,
                    task.subItem().service,
@@ -250,38 +250,58 @@
                .add("slot", aSend.call.key.slot));
   }
   const std::uint32_t slotIndex = aSend.slot;
-  const std::uint64_t query = aSend.work.task.batch->query;
+  const auto batch = aSend.work.task.batch;
+  const std::size_t item = aSend.work.task.item;
   const std::uint64_t handle = m_backend.send(
     std::move(aSend.call),
     [this, aGate, slotIndex, work = std::move(aSend.work)](
       const BackendReply& aReply) { finish(aGate, slotIndex, work, aReply); });
-  const std::lock_guard<std::mutex> lock(aGate->mutex);
-  for (Slot& slot : aGate->slots) {
-    // The reply may have come already and the slot serve another query.
-    if (slot.index == slotIndex && slot.busy && slot.query == query) {
-      slot.handle = handle;
+  bool cancelled = false;
+  {
+    const std::lock_guard<std::mutex> lock(aGate->mutex);
+    for (Slot& slot : aGate->slots) {
+      // The reply may have come already and the slot serve another request.
+      if (slot.index == slotIndex && slot.busy && slot.task.batch == batch &&
+          slot.task.item == item) {
+        slot.handle = handle;
+        cancelled = slot.cancelled;
+      }
     }
   }
+  if (cancelled) {
+    m_backend.cancel(handle);
+  }
 }
 
 void
 SlotTable::finish(const GatePtr& aGate,
                   std::uint32_t aSlot,
                   const Waiting& aWork,
-                  const BackendReply& aReply)
+                  BackendReply aReply)
 {
   --m_inFlight;
+  {
+    const std::lock_guard<std::mutex> lock(aGate->mutex);
+    for (const Slot& slot : aGate->slots) {
+      aReply.cancelled =
+        aReply.cancelled || (slot.index == aSlot && slot.cancelled);
+    }
+  }
   m_warmth.onReply({ aGate->server, aSlot }, aReply);
   SubReply reply = makeReply(aWork.task, aReply.status, aReply.error);
   reply.body = aReply.body;
   reply.snapshot = aReply.snapshot;
   reply.serverIncarnation = aReply.incarnation;
+  // A failed connect is the one NotRun for which the server did nothing.
+  reply.reachedServer =
+    aReply.status != SubStatus::NotRun || aReply.error != Errc::Unreachable;
   {
     const std::lock_guard<std::mutex> lock(aGate->mutex);
     reply.queued = static_cast<std::uint32_t>(aGate->queue.size());
     for (Slot& slot : aGate->slots) {
       if (slot.index == aSlot) {
         slot.busy = false;
+        slot.task = {};
       }
     }
   }
@@ -290,8 +310,14 @@
 }
 
 void
-SlotTable::cancel(const std::string& aOrigin, std::uint64_t aQuery)
+SlotTable::cancel(const std::string& aOrigin, const Cancel& aCancel)
 {
+  const auto matches = [&](const SubTask& aTask) {
+    return aTask.batch->query == aCancel.query && aTask.origin == aOrigin &&
+           (aCancel.part == Cancel::kAllParts ||
+            (aTask.subItem().part == aCancel.part &&
+             aTask.subItem().attempt == aCancel.attempt));
+  };
   std::vector<GatePtr> gates;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -302,16 +328,20 @@
   std::vector<std::uint64_t> running;
   for (const GatePtr& target : gates) {
     const std::lock_guard<std::mutex> lock(target->mutex);
-    const auto matches = [&](const Waiting& aWaiting) {
-      return aWaiting.task.batch->query == aQuery &&
-             aWaiting.task.origin == aOrigin;
-    };
     auto& queue = target->queue;
-    queue.erase(std::remove_if(queue.begin(), queue.end(), matches),
+    queue.erase(std::remove_if(queue.begin(),
+                               queue.end(),
+                               [&](const Waiting& aWaiting) {
+                                 return matches(aWaiting.task);
+                               }),
                 queue.end());
-    for (const Slot& slot : target->slots) {
-      if (slot.busy && slot.query == aQuery && slot.origin == aOrigin &&
-          slot.handle != 0) {
+    for (Slot& slot : target->slots) {
+      if (!slot.busy || slot.cancelled || !matches(slot.task)) {
+        continue;
+      }
+      slot.cancelled = true;
+      // Without a handle yet, start() cancels when it has one.
+      if (slot.handle != 0) {
         running.push_back(slot.handle);
       }
     }
--- a/src/slot_table_p.h
+++ b/src/slot_table_p.h
@@ -56,8 +56,8 @@
   ///            passed in the queue or when this node holds no slot
   void submit(SubTask aTask, Done aDone);
 
-  /// Drops the queued work of a query and cancels what runs.
-  void cancel(const std::string& aOrigin, std::uint64_t aQuery);
+  /// Drops queued work of a query and cancels what runs of it.
+  void cancel(const std::string& aOrigin, const Cancel& aCancel);
 
   /// Drops expired work and retries dispatch; called periodically because
   /// rights and warmth change without a reply.
@@ -80,8 +80,8 @@
     bool held = false;
     bool busy = false;
     std::uint64_t handle = 0;
-    std::string origin;
-    std::uint64_t query = 0;
+    bool cancelled = false;
+    SubTask task; ///< valid while busy
   };
   /// The queue before one server.
   struct Gate
@@ -111,7 +111,7 @@
   void finish(const GatePtr& aGate,
               std::uint32_t aSlot,
               const Waiting& aWork,
-              const BackendReply& aReply);
+              BackendReply aReply);
 
   const ClockI& m_clock;
   const ViewHolder& m_views;
--- a/src/status_http.cpp
+++ b/src/status_http.cpp
@@ -28,7 +28,13 @@
   body["unknown"] = number(aCounters.unknown);
   body["first_attempts"] = number(aCounters.firstAttempts);
   body["retries"] = number(aCounters.retries);
+  body["free_retries"] = number(aCounters.freeRetries);
+  body["retries_denied"] = number(aCounters.retriesDenied);
   body["hedges"] = number(aCounters.hedges);
+  body["hedges_won"] = number(aCounters.hedgesWon);
+  body["hedges_denied"] = number(aCounters.hedgesDenied);
+  body["early_answers"] = number(aCounters.earlyAnswers);
+  body["restarts"] = number(aCounters.restarts);
   body["dropped_replies"] = number(aCounters.droppedReplies);
   return body;
 }
@@ -109,7 +115,13 @@
   counter("answers_unknown_total", aCounters.unknown);
   counter("first_attempts_total", aCounters.firstAttempts);
   counter("retries_total", aCounters.retries);
+  counter("free_retries_total", aCounters.freeRetries);
+  counter("retries_denied_total", aCounters.retriesDenied);
   counter("hedges_total", aCounters.hedges);
+  counter("hedges_won_total", aCounters.hedgesWon);
+  counter("hedges_denied_total", aCounters.hedgesDenied);
+  counter("early_answers_total", aCounters.earlyAnswers);
+  counter("restarts_total", aCounters.restarts);
   counter("dropped_replies_total", aCounters.droppedReplies);
   counter("log_lines_dropped_total", logDropped());
   out << "# TYPE toucanridge_rules_revision gauge\n"
--- a/src/wire_p.h
+++ b/src/wire_p.h
@@ -161,26 +161,31 @@
   std::string body;
   std::uint64_t snapshot = 0;
   std::uint64_t serverIncarnation = 0;
-  std::uint32_t queued = 0; ///< sub-requests waiting for that server there
+  std::uint32_t queued = 0;   ///< sub-requests waiting for that server there
+  bool reachedServer = false; ///< the server received it, and may have refused
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(query, part, attempt, status, error);
     wireText(aArchive, body);
-    aArchive(snapshot, serverIncarnation, queued);
+    aArchive(snapshot, serverIncarnation, queued, reachedServer);
   }
 };
 
-/// Ends all work of a query at a holder.
+/// Ends work of a query at a holder: all of it, or one attempt at one part.
 struct Cancel
 {
+  static constexpr std::uint32_t kAllParts = UINT32_MAX;
+
   std::uint64_t query = 0;
+  std::uint32_t part = kAllParts;
+  std::uint32_t attempt = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(query);
+    aArchive(query, part, attempt);
   }
 };
 
