--- /dev/null
+++ b/tools/hedge_bench.cpp
@@ -0,0 +1,185 @@
+/// Load tool that compares query classes in one run: it sends blocks of
+/// queries of each class in turn, so that a noisy machine hits all alike, and
+/// prints latency, coverage and extra load by class.
+
+#include <algorithm>
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <regex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/program_options.hpp>
+
+#include "client_http_p.h"
+
+namespace {
+
+namespace po = boost::program_options;
+using toucanridge::Client;
+using toucanridge::QueryAnswer;
+using toucanridge::QueryRequest;
+using Clock = std::chrono::steady_clock;
+
+struct Result
+{
+  std::vector<double> latencies; ///< ms
+  std::uint64_t answered = 0;
+  std::uint64_t total = 0;
+  std::uint64_t whole = 0;
+  std::map<std::string, std::uint64_t> counters; ///< growth over the blocks
+};
+
+const std::vector<std::string> kCounters = { "first_attempts", "retries",
+                                             "free_retries",   "hedges",
+                                             "hedges_won",     "hedges_denied",
+                                             "early_answers" };
+
+/// @returns the counters of all entries, summed
+std::map<std::string, std::uint64_t>
+readCounters(const std::vector<std::string>& aEntries)
+{
+  std::map<std::string, std::uint64_t> sum;
+  Client client(aEntries, "");
+  for (const std::string& entry : aEntries) {
+    const auto status = client.status(entry);
+    for (const std::string& name : kCounters) {
+      std::smatch found;
+      const std::regex pattern("\"" + name + "\":([0-9]+)");
+      if (status && std::regex_search(*status, found, pattern)) {
+        sum[name] += std::stoull(found[1]);
+      }
+    }
+  }
+  return sum;
+}
+
+void
+runBlock(const po::variables_map& aValues,
+         const std::string& aClass,
+         std::uint32_t aQueries,
+         Result& aResult)
+{
+  const auto entries = aValues["entry"].as<std::vector<std::string>>();
+  const auto callers = aValues["callers"].as<std::uint32_t>();
+  const auto before = readCounters(entries);
+  std::mutex mutex;
+  std::vector<std::thread> threads;
+  for (std::uint32_t c = 0; c < callers; ++c) {
+    threads.emplace_back([&, c] {
+      Client client({ entries[c % entries.size()] }, "");
+      QueryRequest request;
+      request.queryClass = aClass;
+      for (std::uint32_t q = 0; q < aQueries / callers; ++q) {
+        request.body = aClass + std::to_string(c) + "-" + std::to_string(q);
+        const auto start = Clock::now();
+        const QueryAnswer answer = client.query(request);
+        const std::chrono::duration<double, std::milli> took =
+          Clock::now() - start;
+        const std::lock_guard<std::mutex> lock(mutex);
+        aResult.latencies.push_back(took.count());
+        aResult.answered += answer.coverage.answered;
+        aResult.total += answer.coverage.total;
+        aResult.whole += answer.outcome == toucanridge::Outcome::Whole ? 1 : 0;
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  for (const auto& [name, value] : readCounters(entries)) {
+    aResult.counters[name] += value - before.at(name);
+  }
+}
+
+double
+percentile(const std::vector<double>& aSorted, double aShare)
+{
+  if (aSorted.empty()) {
+    return 0.0;
+  }
+  const auto last = static_cast<double>(aSorted.size() - 1);
+  return aSorted[static_cast<std::size_t>(last * aShare)];
+}
+
+void
+print(const std::string& aClass, Result& aResult)
+{
+  std::sort(aResult.latencies.begin(), aResult.latencies.end());
+  const auto share = [](std::uint64_t aPart, std::uint64_t aWhole) {
+    return aWhole == 0
+             ? 0.0
+             : 100.0 * static_cast<double>(aPart) / static_cast<double>(aWhole);
+  };
+  auto& counters = aResult.counters;
+  std::cout << std::fixed << std::setprecision(1) << "class=" << aClass
+            << " queries=" << aResult.latencies.size()
+            << " p50_ms=" << percentile(aResult.latencies, 0.5)
+            << " p99_ms=" << percentile(aResult.latencies, 0.99)
+            << " p999_ms=" << percentile(aResult.latencies, 0.999)
+            << std::setprecision(3)
+            << " coverage_pct=" << share(aResult.answered, aResult.total)
+            << " whole_pct=" << share(aResult.whole, aResult.latencies.size())
+            << " extra_load_pct="
+            << share(counters["hedges"] + counters["retries"],
+                     counters["first_attempts"]);
+  for (const std::string& name : kCounters) {
+    std::cout << ' ' << name << '=' << counters[name];
+  }
+  std::cout << '\n';
+}
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  po::options_description options("hedge_bench");
+  options.add_options()("help", "print this help")(
+    "entry",
+    po::value<std::vector<std::string>>()->required()->multitoken(),
+    "address:port of each entry host")(
+    "class",
+    po::value<std::vector<std::string>>()->required()->multitoken(),
+    "classes to compare")("queries",
+                          po::value<std::uint32_t>()->default_value(400),
+                          "queries of a class in one block")(
+    "rounds",
+    po::value<std::uint32_t>()->default_value(5),
+    "blocks of each class")("warm-up",
+                            po::value<std::uint32_t>()->default_value(200),
+                            "queries of each class before measuring")(
+    "callers", po::value<std::uint32_t>()->default_value(4), "callers");
+  try {
+    po::variables_map values;
+    po::store(po::parse_command_line(aCount, aValues, options), values);
+    if (values.count("help") != 0) {
+      std::cout << options;
+      return 0;
+    }
+    po::notify(values);
+    const auto classes = values["class"].as<std::vector<std::string>>();
+    for (const std::string& name : classes) {
+      Result ignored;
+      runBlock(values, name, values["warm-up"].as<std::uint32_t>(), ignored);
+    }
+    std::map<std::string, Result> results;
+    for (std::uint32_t r = 0; r < values["rounds"].as<std::uint32_t>(); ++r) {
+      for (const std::string& name : classes) {
+        runBlock(
+          values, name, values["queries"].as<std::uint32_t>(), results[name]);
+      }
+    }
+    for (const std::string& name : classes) {
+      print(name, results[name]);
+    }
+  } catch (const std::exception& error) {
+    std::cerr << "hedge_bench: " << error.what() << '\n';
+    return 2;
+  }
+  return 0;
+}
