--- a/src/backend_p.h
+++ b/src/backend_p.h
@@ -84,6 +84,9 @@
   virtual ~WarmthI() = default;
   /// @param[in] aInUse requests this node has in flight to that server
   virtual bool mayUse(const SlotKey& aKey, std::uint32_t aInUse) const = 0;
+  /// @returns true when closing the connection of a running request is safe. A
+  /// server notices that late, and would run the next request beside it.
+  virtual bool mayCancel(const std::string& aServer) const = 0;
   /// Called for each request sent, before its onReply().
   virtual void onSent(const SlotKey& aKey) = 0;
   virtual void onReply(const SlotKey& aKey, const BackendReply& aReply) = 0;
--- a/src/query.cpp
+++ b/src/query.cpp
@@ -14,7 +14,7 @@
 
 /// Time kept back from the deadline to merge and write the answer.
 constexpr milliseconds kAnswerReserve{ 2 };
-/// Attempts at one part that reached a server, the first included.
+/// Attempts at one part that cost a server work, the first included.
 constexpr std::uint32_t kMaxServerAttempts = 4;
 /// Attempts at one part in all; a bound on memory, not on load.
 constexpr std::size_t kMaxAttempts = 64;
@@ -225,12 +225,13 @@
   const Target target = part.attempts[aIndex].target;
   m_error = aFailure.error;
   part.limits.tried.push_back(target);
-  part.serverAttempts += aFailure.reachedServer ? 1 : 0;
   if (ran(aFailure.status)) {
     part.mayHaveRun = true;
   }
   if (aFailure.status == SubStatus::NoSnapshot) {
     part.limits.barredServers.push_back(target.server);
+  } else if (aFailure.reachedServer) {
+    ++part.serverAttempts;
   }
   part.limits.preferOwner =
     part.limits.preferOwner || aFailure.error == Errc::NotHolder;
@@ -246,8 +247,9 @@
 /// what the first attempt cost:
 /// - no server received it (wrong holder, no grant, shed or expired in a
 ///   queue, unsent): the retry takes its place and is not charged;
-/// - a server refused it with 409 before any work: not charged, but each
-///   server is asked once at most before a pause;
+/// - a server refused it with 409 before any work: each server is asked once
+///   for free; later, after a pause, one request at a time is charged, while
+///   the query waits for rules that name the new snapshot;
 /// - a server worked on it, or shed it: charged to the class's budget.
 void
 Query::retry(std::uint32_t aPart, const Failure& aFailure, Batches& aBatches)
@@ -259,6 +261,10 @@
       part.attempts.size() >= kMaxAttempts) {
     return;
   }
+  if (aFailure.status == SubStatus::NoSnapshot && part.waits > 0) {
+    pause(part);
+    return;
+  }
   const bool charged =
     aFailure.reachedServer && aFailure.status != SubStatus::NoSnapshot;
   if (charged && !m_learnt->takeRetry()) {
--- a/src/query_p.h
+++ b/src/query_p.h
@@ -51,7 +51,7 @@
     bool answered = false;
     bool mayHaveRun = false;
     bool hedged = false;
-    std::uint32_t serverAttempts = 0; ///< attempts that reached a server
+    std::uint32_t serverAttempts = 0; ///< that cost a server work
     std::uint32_t waits = 0;          ///< pauses before a retry so far
     std::optional<TimePoint> retryAt; ///< end of such a pause
     std::string body;
--- a/src/query_timing.cpp
+++ b/src/query_timing.cpp
@@ -119,10 +119,15 @@
       if (m_error == Errc::NoSnapshot && startOver(aBatches)) {
         return;
       }
+      const bool refused = !part.limits.barredServers.empty();
+      if (refused && !m_learnt->takeRetry()) {
+        pause(part);
+        continue;
+      }
       part.limits = {};
       part.limits.preferOwner = m_error == Errc::NotHolder;
       if (attempt(p, Kind::Retry, aBatches)) {
-        ++counters.freeRetries;
+        ++(refused ? counters.retries : counters.freeRetries);
       } else {
         pause(part);
       }
--- a/src/slot_table.cpp
+++ b/src/slot_table.cpp
@@ -10,6 +10,10 @@
 /// Sub-requests that may wait before one server; at the rates of the largest
 /// deployment a longer queue outlasts every deadline.
 constexpr std::size_t kMaxQueued = 64;
+/// Pause of a slot after a cancel. The adapter reports the end before the
+/// server has seen the connection close; without a pause a server saw one
+/// request more than its slots once in 90,000 requests with 2,400 cancels.
+constexpr std::chrono::milliseconds kCancelGrace{ 20 };
 /// Queue length reported with a refusal for want of a grant, so that entry
 /// nodes prefer other holders for their next few choices.
 constexpr std::uint32_t kQueuedWhenRefused = 4;
@@ -217,8 +221,8 @@
     }));
   for (Slot& slot : aGate.slots) {
     const SlotKey key{ aGate.server, slot.index };
-    if (slot.busy || !slot.held || !m_warmth.mayUse(key, inUse) ||
-        !m_rights.mayUse(key)) {
+    if (slot.busy || !slot.held || now < slot.freeAt ||
+        !m_warmth.mayUse(key, inUse) || !m_rights.mayUse(key)) {
       continue;
     }
     aSend.work = std::move(aGate.queue.front());
@@ -328,6 +332,9 @@
     for (Slot& slot : aGate->slots) {
       if (slot.index == aSlot) {
         slot.busy = false;
+        if (aReply.cancelled) {
+          slot.freeAt = m_clock.now() + kCancelGrace;
+        }
         slot.task = {};
       }
     }
@@ -363,7 +370,8 @@
                                }),
                 queue.end());
     for (Slot& slot : target->slots) {
-      if (!slot.busy || slot.cancelled || !matches(slot.task)) {
+      if (!slot.busy || slot.cancelled || !matches(slot.task) ||
+          !m_warmth.mayCancel(target->server)) {
         continue;
       }
       slot.cancelled = true;
--- a/src/slot_table_p.h
+++ b/src/slot_table_p.h
@@ -81,7 +81,8 @@
     bool busy = false;
     std::uint64_t handle = 0;
     bool cancelled = false;
-    SubTask task; ///< valid while busy
+    TimePoint freeAt; ///< not to be used before, after a cancel
+    SubTask task;     ///< valid while busy
   };
   /// The queue before one server.
   struct Gate
--- a/src/warmth.cpp
+++ b/src/warmth.cpp
@@ -242,6 +242,16 @@
   return false;
 }
 
+/// Only a server seen warm bears a request that it hasn't noticed to be
+/// cancelled beside the next one: no reply says when a cancel took effect.
+bool
+Warmth::mayCancel(const std::string& aServer) const
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const Server* const server = find(aServer);
+  return server != nullptr && isSeenWarm(*server);
+}
+
 void
 Warmth::onSent(const SlotKey& aKey)
 {
--- a/src/warmth_p.h
+++ b/src/warmth_p.h
@@ -58,6 +58,7 @@
 
   // WarmthI
   bool mayUse(const SlotKey& aKey, std::uint32_t aInUse) const override;
+  bool mayCancel(const std::string& aServer) const override;
   void onSent(const SlotKey& aKey) override;
   void onReply(const SlotKey& aKey, const BackendReply& aReply) override;
 
--- a/tests/query_engine_test.cpp
+++ b/tests/query_engine_test.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(retriesNoSnapshotAtAnotherServer);
   CPPUNIT_TEST(mergesNoReplyOfAnotherSnapshot);
   CPPUNIT_TEST(startsOverOnNewSnapshot);
+  CPPUNIT_TEST(waitsForRulesThatNameTheNewSnapshot);
   CPPUNIT_TEST(labelsWhatLacksWhenTooLateToStartOver);
   CPPUNIT_TEST(dropsDoubledAndCrossedReplies);
   CPPUNIT_TEST(answersEarlyOnlyForLatency);
@@ -298,6 +299,15 @@
                          f.engine.counters().droppedReplies.load());
   }
 
+  // Guards against failing every query while servers have the new snapshot and
+  // the rules that name it are on their way, and against asking the servers
+  // again and again meanwhile.
+  void waitsForRulesThatNameTheNewSnapshot()
+  {
+    waitForNewSnapshot(2);
+    waitForNewSnapshot(kParts);
+  }
+
   // Guards against a restart that can't end in time, and against a partial
   // answer that doesn't say what lacks.
   void labelsWhatLacksWhenTooLateToStartOver()
@@ -451,6 +461,31 @@
   }
 
 private:
+  static void waitForNewSnapshot(std::size_t aParts)
+  {
+    EngineFixture f(makeRules(aParts, "retry cover budget 0%"));
+    f.submit("cover");
+    std::size_t asked = 0;
+    for (int ms = 0; ms < 400; ++ms) {
+      for (const auto& one : f.sender.take()) {
+        ++asked;
+        f.reply(one, SubStatus::NoSnapshot, Errc::NoSnapshot);
+      }
+      f.advance(milliseconds(1));
+    }
+    CPPUNIT_ASSERT(f.answers.empty());
+    CPPUNIT_ASSERT(static_cast<double>(asked) <=
+                   2 * aParts + TokenBudget::kBurst);
+    f.setRules(2, makeRules(aParts, "", 8));
+    f.advance(milliseconds(160));
+    for (const auto& one : f.sender.take()) {
+      f.reply(one, SubStatus::Done);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), f.answers.size());
+    CPPUNIT_ASSERT(f.answers[0].outcome == Outcome::Whole);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), f.answers[0].snapshot);
+  }
+
   static const FakeSender::Sent& find(const std::deque<FakeSender::Sent>& aList,
                                       std::uint32_t aPart)
   {
--- a/tests/query_fakes.h
+++ b/tests/query_fakes.h
@@ -111,8 +111,9 @@
     QueryRequest request;
     request.queryClass = aClass;
     request.body = "body";
-    engine.submit(request,
-                  [this](QueryAnswer aAnswer) { answers.push_back(aAnswer); });
+    engine.submit(request, [this](const QueryAnswer& aAnswer) {
+      answers.push_back(aAnswer);
+    });
   }
 
   static SubReply makeReply(const FakeSender::Sent& aSent,
--- a/tests/slot_table_test.cpp
+++ b/tests/slot_table_test.cpp
@@ -39,7 +39,10 @@
   std::uint32_t sent = 0;
   std::vector<BackendReply> replies;
 
+  bool warm = true;
+
   bool mayUse(const SlotKey&, std::uint32_t) const override { return allowed; }
+  bool mayCancel(const std::string&) const override { return warm; }
   void onSent(const SlotKey&) override { ++sent; }
   void onReply(const SlotKey&, const BackendReply& aReply) override
   {
@@ -120,6 +123,7 @@
   CPPUNIT_TEST(keepsAClassToItsShare);
   CPPUNIT_TEST(refusesAtOnceWhenNothingIsAllowed);
   CPPUNIT_TEST(cancelsOneAttempt);
+  CPPUNIT_TEST(letsAColdServerFinish);
   CPPUNIT_TEST(tellsWhetherTheServerWasReached);
   CPPUNIT_TEST_SUITE_END();
 
@@ -198,8 +202,9 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), f.warmth.sent);
   }
 
-  // Guards against the loser of a hedge that keeps its slot, against a cancel
-  // that hits another attempt, and against taking it for a sign of cold.
+  // Guards against the loser of a hedge that keeps its slot, against one slot
+  // with two requests because the server notices a cancel late, against a
+  // cancel that hits another attempt, and against taking it for a sign of cold.
   void cancelsOneAttempt()
   {
     TableFixture f;
@@ -213,11 +218,30 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), f.backend.cancelled.size());
     f.backend.sent[0].done(BackendReply{});
     CPPUNIT_ASSERT(f.warmth.replies.at(0).cancelled);
+    // The server may run the cancelled request a little longer.
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), f.backend.sent.size());
+    f.clock.advance(milliseconds(20));
+    f.table.sweep();
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), f.backend.sent.size());
     f.table.cancel("a-2", { 2 });
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), f.backend.cancelled.size());
   }
 
+  // Guards against a second request on a cold server that hasn't noticed yet
+  // that the first one was cancelled.
+  void letsAColdServerFinish()
+  {
+    TableFixture f;
+    f.warmth.warm = false;
+    f.submit("cover", 7, 1);
+    f.submit("cover", 7, 2);
+    f.table.cancel("a-2", { 1 });
+    CPPUNIT_ASSERT(f.backend.cancelled.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), f.backend.sent.size());
+    f.finish(0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), f.backend.sent.size());
+  }
+
   // Guards against a refusal by a server that is counted as free, and a
   // failed connect that is counted as work.
   void tellsWhetherTheServerWasReached()
--- a/tools/hedge_bench.cpp
+++ b/tools/hedge_bench.cpp
@@ -92,7 +92,8 @@
     thread.join();
   }
   for (const auto& [name, value] : readCounters(entries)) {
-    aResult.counters[name] += value - before.at(name);
+    // A restarted node counts from zero again.
+    aResult.counters[name] += value - std::min(value, before.at(name));
   }
 }
 
