--- a/src/caller_http.cpp
+++ b/src/caller_http.cpp
@@ -110,6 +110,7 @@
 ticketsJson(const std::vector<std::string>& aTickets)
 {
   std::vector<json::value> list;
+  list.reserve(aTickets.size());
   for (const std::string& ticket : aTickets) {
     list.push_back(json::value::string(ticket));
   }
--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -177,11 +177,12 @@
   }
   // Other services may answer a request that crashes one of them.
   auto& strikes = found->second.strikes;
-  strikes.erase(
-    std::remove_if(strikes.begin(),
-                   strikes.end(),
-                   [&](const Strike& s_) { return s_.service == service; }),
-    strikes.end());
+  strikes.erase(std::remove_if(strikes.begin(),
+                               strikes.end(),
+                               [&](const Strike& aEach) {
+                                 return aEach.service == service;
+                               }),
+                strikes.end());
   if (strikes.empty()) {
     m_entries.erase(found);
     m_size = m_entries.size();
--- a/src/tickets.cpp
+++ b/src/tickets.cpp
@@ -143,7 +143,7 @@
   }
   Waiter waiter{ std::move(aDone), m_clock.now() + m_io.deadlineOf(aRequest) };
   if (ticket->host != m_host) {
-    forward(*ticket, std::move(aRequest), std::move(waiter));
+    forward(*ticket, std::move(aRequest), waiter);
     return;
   }
   begin(*ticket, std::move(aRequest), std::move(waiter));
@@ -241,7 +241,9 @@
 }
 
 void
-Tickets::forward(const Ticket& aTicket, QueryRequest aRequest, Waiter aWaiter)
+Tickets::forward(const Ticket& aTicket,
+                 QueryRequest aRequest,
+                 const Waiter& aWaiter)
 {
   TicketForward frame;
   frame.ticket = std::move(aRequest.ticket);
--- a/src/tickets_p.h
+++ b/src/tickets_p.h
@@ -150,7 +150,9 @@
   /// @returns the answer when a ticket without a record can't start
   std::optional<QueryAnswer> refusal(const Ticket& aTicket);
   void finish(std::uint64_t aSequence, const QueryAnswer& aAnswer);
-  void forward(const Ticket& aTicket, QueryRequest aRequest, Waiter aWaiter);
+  void forward(const Ticket& aTicket,
+               QueryRequest aRequest,
+               const Waiter& aWaiter);
   void age(TimePoint aNow);
   void evict();
   static void giveAll(Replies& aReplies);
