Pause a charged retry that has no target left

Cause: in a fault run with both servers of a service down, six answers of classes ended "unreachable" within some 20 ms. A charged retry that found no untried target ended its part, although its budget token was spent and the deadline left time; only free retries paused.

Change: both pause. The bound on attempts that cost a server work is unchanged.

Seen red before the change: pausesAChargedRetryWithoutTarget. usesTheDeadlineWhenEveryServerIsLost passed before and is kept as a guard. The fault run was not repeated with this change.

--- a/src/query.cpp
+++ b/src/query.cpp
@@ -274,7 +274,7 @@
   EngineCounters& counters = m_engine.m_counters;
   if (attempt(aPart, Kind::Retry, aBatches)) {
     ++(charged ? counters.retries : counters.freeRetries);
-  } else if (!charged) {
+  } else {
     pause(part);
   }
 }
--- a/tests/query_engine_test.cpp
+++ b/tests/query_engine_test.cpp
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(boundsRetriesWhenAllFail);
   CPPUNIT_TEST(boundsHedgesWhenAllAreSlow);
   CPPUNIT_TEST(retriesWithoutBudgetWhatNoServerReceived);
+  CPPUNIT_TEST(pausesAChargedRetryWithoutTarget);
+  CPPUNIT_TEST(usesTheDeadlineWhenEveryServerIsLost);
   CPPUNIT_TEST(hedgesToAnotherServerAndCancelsTheLoser);
   CPPUNIT_TEST(sendsNoHedgeWithoutAnotherServer);
   CPPUNIT_TEST(hedgesAfterLearntPercentile);
@@ -107,6 +109,43 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), f.engine.counters().retries.load());
   }
 
+  // Guards against a coverage class that gives up within milliseconds when
+  // all servers of a service restart, while its deadline would outlast that.
+  void usesTheDeadlineWhenEveryServerIsLost()
+  {
+    EngineFixture f(makeRules(1, "retry cover budget 100%"));
+    f.submit("cover");
+    f.reply(f.sender.take().at(0), SubStatus::Lost, Errc::Unreachable);
+    for (int ms = 0; ms < 500; ++ms) {
+      for (const auto& one : f.sender.take()) {
+        f.reply(one, SubStatus::NotRun, Errc::Unreachable, false);
+      }
+      f.advance(milliseconds(1));
+    }
+    CPPUNIT_ASSERT(f.answers.empty());
+    f.advance(milliseconds(160));
+    f.reply(f.sender.take().at(0), SubStatus::Done);
+    CPPUNIT_ASSERT(f.answers.at(0).outcome == Outcome::Whole);
+  }
+
+  // Guards against a charged retry that is lost for want of another target.
+  void pausesAChargedRetryWithoutTarget()
+  {
+    RuleSet rules = makeRules(1,
+                              "retry cover budget 100%\n"
+                              "server 127.0.0.3:80 leaving",
+                              7,
+                              "slots 1 connections 8 connect-cost 1ms "
+                              "cold-slots 1");
+    EngineFixture f(rules);
+    f.submit("cover");
+    f.reply(f.sender.take().at(0), SubStatus::Lost, Errc::Unreachable);
+    CPPUNIT_ASSERT(f.answers.empty());
+    f.advance(milliseconds(20));
+    f.reply(f.sender.take().at(0), SubStatus::Done);
+    CPPUNIT_ASSERT(f.answers.at(0).outcome == Outcome::Whole);
+  }
+
   // Guards against a hedge that waits for the same slow server, a merge of
   // both replies, and a loser that keeps its slot.
   void hedgesToAnotherServerAndCancelsTheLoser()
