--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -39,7 +39,7 @@
   {
     batches.push_back(std::move(aBatch));
   }
-  void cancel(const Host&, std::uint64_t) override { ++cancels; }
+  void cancel(const Host&, const Cancel&) override { ++cancels; }
   std::vector<SubBatch> batches;
   int cancels = 0;
 };
--- a/tests/rights_test.cpp
+++ b/tests/rights_test.cpp
@@ -142,6 +142,8 @@
 struct FakeWarmth final : public WarmthI
 {
   bool mayUse(const SlotKey&, std::uint32_t) const override { return true; }
+  bool mayCancel(const std::string&) const override { return true; }
+  void onSent(const SlotKey&) override {}
   void onReply(const SlotKey&, const BackendReply&) override {}
 };
 
@@ -769,7 +771,8 @@
     CPPUNIT_ASSERT(table.replies.at(0).status == SubStatus::NotRun);
     for (int i = 0; i < 40; ++i) {
       table.clock.advance(milliseconds(100));
-      rights.onProbeAcked({ "b1", 1, view->id, view->id }, table.clock.now());
+      rights.onProbeAcked({ "b1", 1, view->id, view->id, view->id },
+                          table.clock.now());
     }
     table.submit(slots);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.backend.sent.size());
