--- a/src/slot_table.cpp
+++ b/src/slot_table.cpp
@@ -12,6 +12,11 @@
 /// deployment a longer queue outlasts every deadline.
 constexpr std::size_t kMaxQueued = 64;
 
+/// Work that no slot may run is answered this long before its deadline, so
+/// that the entry node still learns that it did not run. Covers one sweep and
+/// the way back.
+constexpr std::chrono::milliseconds kAnswerMargin{ 30 };
+
 SubReply
 makeReply(const SubTask& aTask, SubStatus aStatus, Errc aError)
 {
@@ -178,15 +183,12 @@
   dispatch(target);
 }
 
-/// Takes the best waiting request that may be sent now.
-/// @returns false when nothing can be sent
-bool
-SlotTable::takeSend(Gate& aGate, Send& aSend, Ended& aEnded) const
+/// Answers the work whose deadline is not after a time point.
+void
+SlotTable::answerExpired(Gate& aGate, TimePoint aLimit, Ended& aEnded)
 {
-  refresh(aGate);
-  const TimePoint now = m_clock.now();
-  const auto expired = [now](const Waiting& aWork) {
-    return aWork.task.deadline <= now;
+  const auto expired = [aLimit](const Waiting& aWork) {
+    return aWork.task.deadline <= aLimit;
   };
   for (Waiting& work : aGate.queue) {
     if (expired(work)) {
@@ -197,6 +199,16 @@
   aGate.queue.erase(
     std::remove_if(aGate.queue.begin(), aGate.queue.end(), expired),
     aGate.queue.end());
+}
+
+/// Takes the best waiting request that may be sent now.
+/// @returns false when nothing can be sent
+bool
+SlotTable::takeSend(Gate& aGate, Send& aSend, Ended& aEnded) const
+{
+  refresh(aGate);
+  const TimePoint now = m_clock.now();
+  answerExpired(aGate, now, aEnded);
   if (aGate.queue.empty()) {
     return false;
   }
@@ -230,6 +242,9 @@
                    task.batch->body };
     return true;
   }
+  if (inUse == 0) {
+    answerExpired(aGate, now + kAnswerMargin, aEnded);
+  }
   return false;
 }
 
--- a/src/slot_table_p.h
+++ b/src/slot_table_p.h
@@ -112,6 +112,7 @@
   GatePtr gate(const std::string& aServer);
   void refresh(Gate& aGate) const;
   void enqueue(Gate& aGate, Waiting aWork, Ended& aEnded) const;
+  static void answerExpired(Gate& aGate, TimePoint aLimit, Ended& aEnded);
   void dispatch(const GatePtr& aGate);
   bool takeSend(Gate& aGate, Send& aSend, Ended& aEnded) const;
   bool start(const GatePtr& aGate, Send aSend);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -52,7 +52,8 @@
       }
     }
   }
-  return static_cast<double>(reached) / aView.placement.size();
+  return static_cast<double>(reached) /
+         static_cast<double>(aView.placement.size());
 }
 
 std::vector<std::string>
--- a/tests/rights_test.cpp
+++ b/tests/rights_test.cpp
@@ -27,7 +27,8 @@
   std::string text;
   const std::string by = " # asked by X : test\n";
   for (const std::string& name : aCentres) {
-    text += "data-centre " + name + (name == aOut ? " out" : " in") + by;
+    text.append("data-centre ").append(name);
+    text.append(name == aOut ? " out" : " in").append(by);
   }
   for (const char* shard : { "1", "2" }) {
     text += std::string("service s/") + shard + " servers 127.0.0." + shard +
@@ -99,7 +100,9 @@
     ack(aHost, aView, { 1, 1 });
   }
   /// Advances in steps with an acknowledgement from each host.
-  void run(Duration aFor, std::vector<std::string> aHosts, const ViewPtr& aView)
+  void run(Duration aFor,
+           const std::vector<std::string>& aHosts,
+           const ViewPtr& aView)
   {
     for (Duration t{ 0 }; t < aFor; t += milliseconds(100)) {
       clock.advance(milliseconds(100));
@@ -188,7 +191,7 @@
           act(i);
         }
       }
-      const std::string violation = check();
+      std::string violation = check();
       if (!violation.empty()) {
         return violation;
       }
@@ -504,11 +507,12 @@
     item.service = "s/1";
     item.server = "127.0.0.1:80";
     batch.items.push_back(item);
-    aSlots.submit({ "a1",
-                    std::make_shared<const SubBatch>(batch),
-                    0,
-                    clock.now() + milliseconds(200) },
-                  [this](SubReply aReply) { replies.push_back(aReply); });
+    aSlots.submit(
+      { "a1",
+        std::make_shared<const SubBatch>(batch),
+        0,
+        clock.now() + milliseconds(200) },
+      [this](const SubReply& aReply) { replies.push_back(aReply); });
   }
 };
 
@@ -754,7 +758,8 @@
     rights.adopt(view);
     table.views.set(view);
     table.submit(slots);
-    table.clock.advance(milliseconds(200));
+    // Before the deadline, at which the entry node stops listening.
+    table.clock.advance(milliseconds(175));
     slots.sweep();
     CPPUNIT_ASSERT(table.replies.at(0).status == SubStatus::NotRun);
     for (int i = 0; i < 40; ++i) {
