--- a/src/slot_table.cpp
+++ b/src/slot_table.cpp
@@ -19,6 +19,11 @@
 /// nodes prefer other holders for their next few choices.
 constexpr std::uint32_t kQueuedWhenRefused = 4;
 
+/// Work that no slot may run is answered this long before its deadline, so
+/// that the entry node still learns that it did not run. Covers one sweep and
+/// the way back.
+constexpr std::chrono::milliseconds kAnswerMargin{ 30 };
+
 SubReply
 makeReply(const SubTask& aTask, SubStatus aStatus, Errc aError)
 {
@@ -188,25 +193,24 @@
   dispatch(target);
 }
 
-/// @returns true when warmth lets this node use any of its slots, free or busy
+/// @returns true when warmth and rights let this node use any of its slots,
+///          free or busy
 bool
 SlotTable::isAllowed(const Gate& aGate) const
 {
   return std::any_of(
     aGate.slots.begin(), aGate.slots.end(), [&](const Slot& aSlot) {
-      return aSlot.held && m_warmth.mayUse({ aGate.server, aSlot.index }, 0);
+      const SlotKey key{ aGate.server, aSlot.index };
+      return aSlot.held && m_warmth.mayUse(key, 0) && m_rights.mayUse(key);
     });
 }
 
-/// Takes the best waiting request that may be sent now.
-/// @returns false when nothing can be sent
-bool
-SlotTable::takeSend(Gate& aGate, Send& aSend, Ended& aEnded) const
+/// Answers the work whose deadline is not after a time point.
+void
+SlotTable::answerExpired(Gate& aGate, TimePoint aLimit, Ended& aEnded)
 {
-  refresh(aGate);
-  const TimePoint now = m_clock.now();
-  const auto expired = [now](const Waiting& aWork) {
-    return aWork.task.deadline <= now;
+  const auto expired = [aLimit](const Waiting& aWork) {
+    return aWork.task.deadline <= aLimit;
   };
   for (Waiting& work : aGate.queue) {
     if (expired(work)) {
@@ -217,6 +221,16 @@
   aGate.queue.erase(
     std::remove_if(aGate.queue.begin(), aGate.queue.end(), expired),
     aGate.queue.end());
+}
+
+/// Takes the best waiting request that may be sent now.
+/// @returns false when nothing can be sent
+bool
+SlotTable::takeSend(Gate& aGate, Send& aSend, Ended& aEnded) const
+{
+  refresh(aGate);
+  const TimePoint now = m_clock.now();
+  answerExpired(aGate, now, aEnded);
   if (aGate.queue.empty()) {
     return false;
   }
@@ -261,6 +275,9 @@
                    task.batch->body };
     return true;
   }
+  if (inUse == 0) {
+    answerExpired(aGate, now + kAnswerMargin, aEnded);
+  }
   return false;
 }
 
