Add an open-loop load driver that checks every answer

Callers of several classes arrive as Poisson processes per data centre, keep addresses for their validity and get a ticket when the endpoint exists.

--- /dev/null
+++ b/tools/load_driver.cpp
@@ -0,0 +1,675 @@
+/// Open-loop load generator. Queries arrive as Poisson processes that don't
+/// wait for answers; each answer is checked, and the backend stand-ins' own
+/// counters are compared with what the queries needed. The exit code is 1 when
+/// any answer was wrong, late or cut off.
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <random>
+#include <sstream>
+
+#include <boost/program_options.hpp>
+// Keeps the library from defining the macro U, a template parameter in Boost.
+#define _TURN_OFF_PLATFORM_STRING
+#include <cpprest/json.h>
+
+#include "answer_check.h"
+#include "http_pool.h"
+#include "rules_p.h"
+
+namespace {
+
+namespace po = boost::program_options;
+namespace json = web::json;
+using namespace toucanridge;
+using namespace toucanridge::load;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// An answer may come this long after the deadline that the caller set, for
+/// its way back and the driver's own delay.
+constexpr milliseconds kLateAfter{ 50 };
+/// A caller gives up this long after the deadline.
+constexpr milliseconds kGiveUpAfter{ 2000 };
+constexpr milliseconds kControlTimeout{ 2000 };
+/// How soon callers that have no address ask again.
+constexpr milliseconds kAddressRetry{ 200 };
+/// Cancelled requests reach the stand-ins' counters after the last answer.
+constexpr milliseconds kSettle{ 300 };
+constexpr std::size_t kMaxSamples = 5;
+
+struct Counts
+{
+  std::uint64_t sent = 0;
+  std::map<std::string, std::uint64_t> outcomes;
+  std::uint64_t answered = 0; ///< services, over all answers
+  std::uint64_t total = 0;
+  std::map<std::string, std::uint64_t> faults;
+  std::map<std::string, std::uint64_t> reasons; ///< of answers not whole
+  std::vector<double> latencyMs;
+};
+
+struct ClassLoad
+{
+  ClassRule rule;
+  double rate = 0;
+  std::set<std::string> services;
+  Counts counts;
+};
+
+/// The callers of one data centre; they share one list of addresses.
+struct Site
+{
+  std::string dataCentre;
+  std::vector<std::string> near;
+  std::vector<std::string> all;
+};
+
+/// What the stand-ins counted, by application.
+struct ServerCounts
+{
+  std::int64_t requests = 0;
+  std::int64_t refused = 0; ///< shed or expired, so not executed
+  std::int64_t slotViolations = 0;
+  std::int64_t connectionViolations = 0;
+  std::int64_t coldViolations = 0;
+  std::int64_t repeated = 0;
+  std::int64_t crashes = 0;
+};
+using ServerStats = std::map<std::string, ServerCounts>;
+
+double
+percentile(std::vector<double>& aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return 0.0;
+  }
+  const auto rank = static_cast<std::size_t>(
+    std::ceil(aShare * static_cast<double>(aValues.size())));
+  const auto at = aValues.begin() +
+                  static_cast<std::ptrdiff_t>(std::max<std::size_t>(rank, 1)) -
+                  1;
+  std::nth_element(aValues.begin(), at, aValues.end());
+  return *at;
+}
+
+Outcome
+parseOutcome(const std::string& aText)
+{
+  for (const Outcome outcome : { Outcome::Whole,
+                                 Outcome::Partial,
+                                 Outcome::NotRun,
+                                 Outcome::Unknown }) {
+    if (aText == toString(outcome)) {
+      return outcome;
+    }
+  }
+  throw std::runtime_error("unknown outcome");
+}
+
+/// @throws std::exception on malformed JSON
+QueryAnswer
+parseAnswer(const std::string& aText)
+{
+  const json::value body = json::value::parse(aText);
+  QueryAnswer answer;
+  answer.outcome = parseOutcome(body.at("outcome").as_string());
+  answer.reason = body.at("reason").as_string();
+  if (!body.has_field("request_id")) {
+    return answer;
+  }
+  answer.requestId = body.at("request_id").as_string();
+  answer.snapshot = body.at("snapshot").as_number().to_uint64();
+  answer.coverage.answered =
+    body.at("coverage").at("answered").as_number().to_uint32();
+  answer.coverage.total =
+    body.at("coverage").at("total").as_number().to_uint32();
+  for (const json::value& part : body.at("parts").as_array()) {
+    answer.parts.push_back(
+      { part.at("service").as_string(), part.at("body").as_string() });
+  }
+  return answer;
+}
+
+ServerStats
+parseStats(const std::string& aText)
+{
+  ServerStats stats;
+  const json::value servers = json::value::parse(aText);
+  for (const json::value& server : servers.as_array()) {
+    const std::string& service = server.at("service").as_string();
+    ServerCounts& counts = stats[service.substr(0, service.find('/'))];
+    const auto number = [&server](const char* aName) {
+      return server.at(aName).as_number().to_int64();
+    };
+    counts.requests += number("requests");
+    counts.refused += number("shed") + number("expired");
+    counts.slotViolations += number("slot_violations");
+    counts.connectionViolations += number("connection_violations");
+    counts.coldViolations += number("cold_violations");
+    counts.repeated += number("repeated");
+    counts.crashes += number("crashes");
+  }
+  return stats;
+}
+
+class Driver
+{
+public:
+  explicit Driver(const po::variables_map& aValues)
+    : m_pool(m_context)
+    , m_entries(aValues["entry"].as<std::vector<std::string>>())
+    , m_statsAt(aValues["stats"].as<std::string>())
+    , m_random(aValues["seed"].as<std::uint64_t>())
+    , m_duration(
+        static_cast<std::int64_t>(aValues["seconds"].as<double>() * 1000.0))
+    , m_allowCuts(aValues["allow-cuts"].as<bool>())
+  {
+    std::ifstream in(aValues["rules"].as<std::string>());
+    std::ostringstream text;
+    text << in.rdbuf();
+    const RulesResult parsed = parseRules(text.str());
+    if (!parsed.rules) {
+      throw std::runtime_error("the rules file has faults");
+    }
+    for (const std::string& load :
+         aValues["load"].as<std::vector<std::string>>()) {
+      addLoad(*parsed.rules, load);
+    }
+    for (const DataCentreRule& rule : parsed.rules->dataCentres) {
+      m_sites.push_back({ rule.name, {}, {} });
+    }
+  }
+
+  int run()
+  {
+    const ServerStats before = readStats();
+    for (Site& site : m_sites) {
+      refresh(site, 0);
+    }
+    m_start = steady_clock::now() + milliseconds(200);
+    for (ClassLoad& load : m_loads) {
+      for (Site& site : m_sites) {
+        auto timer = std::make_shared<asio::steady_timer>(m_context);
+        arriveLater(load, site, timer, m_start);
+      }
+    }
+    m_context.run();
+    asio::steady_timer settle(m_context, kSettle);
+    settle.wait();
+    const ServerStats after = readStats();
+    printTable(before, after);
+    return printFaults(before, after) ? 1 : 0;
+  }
+
+private:
+  void addLoad(const RuleSet& aRules, const std::string& aText)
+  {
+    const auto colon = aText.rfind(':');
+    const auto found = aRules.classes.find(aText.substr(0, colon));
+    if (colon == std::string::npos || found == aRules.classes.end()) {
+      throw std::runtime_error("--load: '" + aText + "' is not CLASS:RATE");
+    }
+    ClassLoad load;
+    load.rule = found->second;
+    load.rate = std::stod(aText.substr(colon + 1));
+    if (!(load.rate > 0.0)) {
+      throw std::runtime_error("--load: the rate must be above 0");
+    }
+    const auto snapshot = aRules.snapshots.find(load.rule.application);
+    if (snapshot == aRules.snapshots.end()) {
+      throw std::runtime_error("--load: the class has no snapshot");
+    }
+    load.services = { snapshot->second.services.begin(),
+                      snapshot->second.services.end() };
+    m_loads.push_back(std::move(load));
+  }
+
+  bool running() const
+  {
+    return steady_clock::now() < m_start + m_duration || m_pending > 0;
+  }
+
+  /// Asks for addresses, and again when their validity ends.
+  void refresh(Site& aSite, std::size_t aTry)
+  {
+    std::vector<std::string> sources = aSite.all;
+    sources.insert(sources.end(), m_entries.begin(), m_entries.end());
+    HttpRequest request(
+      http::verb::get, "/v1/addresses?data_centre=" + aSite.dataCentre, 11);
+    m_pool.send(sources[aTry % sources.size()],
+                std::move(request),
+                kControlTimeout,
+                [this, &aSite, aTry](const HttpReply& aReply) {
+                  const milliseconds validFor = takeAddresses(aSite, aReply);
+                  refreshAfter(aSite,
+                               validFor.count() > 0 ? validFor : kAddressRetry,
+                               validFor.count() > 0 ? 0 : aTry + 1);
+                });
+  }
+
+  void refreshAfter(Site& aSite, milliseconds aDelay, std::size_t aTry)
+  {
+    if (!running()) {
+      return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_context, aDelay);
+    timer->async_wait([this, &aSite, aTry, timer](beast::error_code) {
+      if (running()) {
+        refresh(aSite, aTry);
+      }
+    });
+  }
+
+  /// @returns how long the addresses are valid; 0 when there are none
+  static milliseconds takeAddresses(Site& aSite, const HttpReply& aReply)
+  {
+    if (!aReply.ok || aReply.status != 200) {
+      return milliseconds(0);
+    }
+    try {
+      const json::value body = json::value::parse(aReply.body);
+      std::vector<std::string> near;
+      std::vector<std::string> all;
+      for (const json::value& entry : body.at("addresses").as_array()) {
+        all.push_back(entry.at("address").as_string() + ":" +
+                      std::to_string(entry.at("port").as_integer()));
+        if (entry.at("data_centre").as_string() == aSite.dataCentre) {
+          near.push_back(all.back());
+        }
+      }
+      if (all.empty()) {
+        return milliseconds(0);
+      }
+      aSite.near = std::move(near);
+      aSite.all = std::move(all);
+      return milliseconds(body.at("valid_ms").as_number().to_int64());
+    } catch (const std::exception&) {
+      return milliseconds(0);
+    }
+  }
+
+  std::string pick(const Site& aSite)
+  {
+    const std::vector<std::string>& from =
+      !aSite.near.empty() ? aSite.near
+                          : (!aSite.all.empty() ? aSite.all : m_entries);
+    return from[m_random() % from.size()];
+  }
+
+  void arriveLater(ClassLoad& aLoad,
+                   Site& aSite,
+                   const std::shared_ptr<asio::steady_timer>& aTimer,
+                   steady_clock::time_point aLast)
+  {
+    std::exponential_distribution<double> gap(
+      aLoad.rate / static_cast<double>(m_sites.size()));
+    const auto due = aLast + std::chrono::duration_cast<steady_clock::duration>(
+                               std::chrono::duration<double>(gap(m_random)));
+    if (due > m_start + m_duration) {
+      return;
+    }
+    aTimer->expires_at(due);
+    aTimer->async_wait([this, &aLoad, &aSite, aTimer, due](beast::error_code) {
+      arriveLater(aLoad, aSite, aTimer, due);
+      begin(aLoad, aSite, due);
+    });
+  }
+
+  void begin(ClassLoad& aLoad, Site& aSite, steady_clock::time_point aDue)
+  {
+    ++m_pending;
+    ++aLoad.counts.sent;
+    m_delayMs.push_back(
+      std::chrono::duration<double, std::milli>(steady_clock::now() - aDue)
+        .count());
+    if (aLoad.rule.idempotent || m_noTickets) {
+      query(aLoad, aSite, "", aDue);
+      return;
+    }
+    HttpRequest request(http::verb::post, "/v1/tickets", 11);
+    m_pool.send(pick(aSite),
+                std::move(request),
+                kControlTimeout,
+                [this, &aLoad, &aSite](const HttpReply& aReply) {
+                  onTicket(aLoad, aSite, aReply);
+                });
+  }
+
+  void onTicket(ClassLoad& aLoad, Site& aSite, const HttpReply& aReply)
+  {
+    if (aReply.ok && aReply.status == 404) {
+      m_noTickets = true;
+    }
+    std::string ticket;
+    try {
+      if (aReply.ok && aReply.status == 200) {
+        ticket = json::value::parse(aReply.body).at("ticket").as_string();
+      }
+    } catch (const std::exception&) {
+      ++aLoad.counts.faults["malformed"];
+    }
+    if (ticket.empty() && !m_noTickets) {
+      // Without a ticket nothing was sent, so nothing ran.
+      --m_pending;
+      ++aLoad.counts.outcomes["not-run"];
+      ++aLoad.counts
+          .reasons["no ticket: status " + std::to_string(aReply.status)];
+      return;
+    }
+    // The deadline of the query begins when the query is sent.
+    query(aLoad, aSite, ticket, steady_clock::now());
+  }
+
+  void query(ClassLoad& aLoad,
+             Site& aSite,
+             const std::string& aTicket,
+             steady_clock::time_point aDue)
+  {
+    Expected expected;
+    expected.body = aLoad.rule.name + " " + std::to_string(m_random());
+    expected.services = aLoad.services;
+    expected.fanOutAll = aLoad.rule.fanOut == FanOut::All;
+    json::value body = json::value::object();
+    body["class"] = json::value::string(aLoad.rule.name);
+    body["body"] = json::value::string(expected.body);
+    if (!aTicket.empty()) {
+      body["ticket"] = json::value::string(aTicket);
+    }
+    HttpRequest request(http::verb::post, "/v1/query", 11);
+    request.set(http::field::content_type, "application/json");
+    request.body() = body.serialize();
+    const auto sentAt = steady_clock::now();
+    m_pool.send(pick(aSite),
+                std::move(request),
+                aLoad.rule.deadline + kGiveUpAfter,
+                [this, &aLoad, expected = std::move(expected), sentAt, aDue](
+                  const HttpReply& aReply) {
+                  --m_pending;
+                  onAnswer(aLoad, expected, aReply, sentAt, aDue);
+                });
+  }
+
+  void onAnswer(ClassLoad& aLoad,
+                const Expected& aExpected,
+                const HttpReply& aReply,
+                steady_clock::time_point aSentAt,
+                steady_clock::time_point aDue)
+  {
+    Counts& counts = aLoad.counts;
+    const auto now = steady_clock::now();
+    if (now - aSentAt > aLoad.rule.deadline + kLateAfter) {
+      fault(aLoad, "late", "");
+    }
+    if (!aReply.ok) {
+      if (!aReply.connected) {
+        ++counts.outcomes["not-run"];
+        ++counts.reasons["no connection"];
+        return;
+      }
+      ++counts.outcomes["unknown"];
+      ++counts.reasons["connection cut"];
+      if (!m_allowCuts) {
+        fault(aLoad, "cut", "");
+      }
+      return;
+    }
+    QueryAnswer answer;
+    try {
+      answer = parseAnswer(aReply.body);
+    } catch (const std::exception& error) {
+      ++counts.outcomes["unknown"];
+      fault(aLoad, "malformed", error.what());
+      return;
+    }
+    ++counts.outcomes[toString(answer.outcome)];
+    if (answer.outcome != Outcome::Whole) {
+      ++counts.reasons[answer.reason];
+    }
+    if (answer.outcome != Outcome::NotRun) {
+      counts.answered += answer.coverage.answered;
+      counts.total += answer.coverage.total;
+      counts.latencyMs.push_back(
+        std::chrono::duration<double, std::milli>(now - aDue).count());
+    }
+    static const std::map<Fault, const char*> kNames = {
+      { Fault::Content, "content" },
+      { Fault::Services, "services" },
+      { Fault::Snapshot, "snapshot" },
+    };
+    const Fault found = checkAnswer(answer, aExpected);
+    if (found != Fault::None) {
+      fault(aLoad, kNames.at(found), answer.requestId);
+    }
+  }
+
+  void fault(ClassLoad& aLoad, const char* aKind, const std::string& aDetail)
+  {
+    ++aLoad.counts.faults[aKind];
+    if (m_samples++ < kMaxSamples) {
+      std::cerr << "load_driver: class=" << aLoad.rule.name
+                << " fault=" << aKind << " request=" << aDetail << '\n';
+    }
+  }
+
+  ServerStats readStats()
+  {
+    ServerStats stats;
+    if (m_statsAt.empty()) {
+      return stats;
+    }
+    asio::io_context context;
+    HttpPool pool(context);
+    pool.send(m_statsAt,
+              HttpRequest(http::verb::get, "/stats", 11),
+              kControlTimeout,
+              [&stats](const HttpReply& aReply) {
+                if (aReply.ok) {
+                  stats = parseStats(aReply.body);
+                }
+              });
+    context.run();
+    if (stats.empty()) {
+      throw std::runtime_error("the stand-ins' /stats gave nothing");
+    }
+    return stats;
+  }
+
+  /// @returns sub-requests that the answered queries of an application needed
+  std::int64_t needed(const std::string& aApplication) const
+  {
+    std::int64_t sum = 0;
+    for (const ClassLoad& load : m_loads) {
+      if (load.rule.application == aApplication) {
+        sum += static_cast<std::int64_t>(load.counts.total);
+      }
+    }
+    return sum;
+  }
+
+  std::string extraLoad(const std::string& aApplication,
+                        const ServerStats& aBefore,
+                        const ServerStats& aAfter) const
+  {
+    const auto after = aAfter.find(aApplication);
+    const std::int64_t base = needed(aApplication);
+    if (after == aAfter.end() || base == 0) {
+      return "-";
+    }
+    const std::int64_t seen =
+      after->second.requests - aBefore.at(aApplication).requests;
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(1)
+        << 100.0 * static_cast<double>(seen - base) / static_cast<double>(base)
+        << '%';
+    return out.str();
+  }
+
+  void printTable(const ServerStats& aBefore, const ServerStats& aAfter)
+  {
+    std::cout << std::left << std::setw(14) << "class" << std::right
+              << std::setw(7) << "sent" << std::setw(8) << "p50" << std::setw(8)
+              << "p99" << std::setw(8) << "p99.9" << std::setw(7) << "whole"
+              << std::setw(8) << "partial" << std::setw(8) << "refused"
+              << std::setw(8) << "unknown" << std::setw(10) << "coverage"
+              << std::setw(8) << "extra" << std::setw(7) << "wrong" << '\n';
+    for (ClassLoad& load : m_loads) {
+      Counts& counts = load.counts;
+      std::uint64_t wrong = 0;
+      for (const auto& entry : counts.faults) {
+        wrong += entry.second;
+      }
+      std::cout << std::fixed << std::setprecision(1) << std::left
+                << std::setw(14) << load.rule.name << std::right << std::setw(7)
+                << counts.sent << std::setw(8)
+                << percentile(counts.latencyMs, 0.5) << std::setw(8)
+                << percentile(counts.latencyMs, 0.99) << std::setw(8)
+                << percentile(counts.latencyMs, 0.999) << std::setw(7)
+                << counts.outcomes["whole"] << std::setw(8)
+                << counts.outcomes["partial"] << std::setw(8)
+                << counts.outcomes["not-run"] << std::setw(8)
+                << counts.outcomes["unknown"] << std::setw(9)
+                << std::setprecision(3)
+                << (counts.total == 0
+                      ? 0.0
+                      : 100.0 * static_cast<double>(counts.answered) /
+                          static_cast<double>(counts.total))
+                << '%' << std::setw(8)
+                << extraLoad(load.rule.application, aBefore, aAfter)
+                << std::setw(7) << wrong << '\n';
+    }
+    std::cout << "latencies in ms from the due time; extra: backend requests "
+                 "beyond those needed, by application\n"
+              << std::setprecision(2) << "driver's own delay: p50 "
+              << percentile(m_delayMs, 0.5) << " ms, p99 "
+              << percentile(m_delayMs, 0.99) << " ms"
+              << (m_noTickets ? "; no ticket endpoint" : "") << '\n';
+    for (const ClassLoad& load : m_loads) {
+      for (const auto& [reason, count] : load.counts.reasons) {
+        std::cout << load.rule.name << ": " << count << " x " << reason << '\n';
+      }
+    }
+  }
+
+  /// @returns true when anything was wrong
+  bool printFaults(const ServerStats& aBefore, const ServerStats& aAfter)
+  {
+    bool wrong = false;
+    for (const ClassLoad& load : m_loads) {
+      for (const auto& [kind, count] : load.counts.faults) {
+        std::cout << "WRONG " << load.rule.name << ' ' << kind << ": " << count
+                  << '\n';
+        wrong = true;
+      }
+    }
+    const auto check = [&wrong](const std::string& aApplication,
+                                const char* aWhat,
+                                std::int64_t aCount) {
+      if (aCount > 0) {
+        std::cout << "WRONG servers of " << aApplication << ' ' << aWhat << ": "
+                  << aCount << '\n';
+        wrong = true;
+      }
+    };
+    for (const auto& [application, after] : aAfter) {
+      const ServerCounts& before = aBefore.at(application);
+      check(application,
+            "slot violations",
+            after.slotViolations - before.slotViolations);
+      check(application,
+            "connection violations",
+            after.connectionViolations - before.connectionViolations);
+      check(application,
+            "cold violations",
+            after.coldViolations - before.coldViolations);
+      check(application, "repeated attempts", after.repeated - before.repeated);
+      const std::int64_t ran =
+        after.requests - after.refused - before.requests + before.refused;
+      check(application,
+            "executions beyond one per request",
+            mayRepeat(application) ? 0 : ran - executable(application));
+    }
+    return wrong;
+  }
+
+  bool mayRepeat(const std::string& aApplication) const
+  {
+    return std::none_of(
+      m_loads.begin(), m_loads.end(), [&](const ClassLoad& aLoad) {
+        return aLoad.rule.application == aApplication && !aLoad.rule.idempotent;
+      });
+  }
+
+  /// @returns queries of an application that may have run, for `true-refusal`
+  ///          and `at-most-once`
+  std::int64_t executable(const std::string& aApplication) const
+  {
+    std::int64_t sum = 0;
+    for (const ClassLoad& load : m_loads) {
+      if (load.rule.application == aApplication) {
+        const auto refused = load.counts.outcomes.find("not-run");
+        sum += static_cast<std::int64_t>(
+          load.counts.sent -
+          (refused == load.counts.outcomes.end() ? 0 : refused->second));
+      }
+    }
+    return sum;
+  }
+
+  asio::io_context m_context;
+  HttpPool m_pool;
+  std::vector<std::string> m_entries;
+  std::string m_statsAt;
+  std::mt19937_64 m_random;
+  milliseconds m_duration;
+  bool m_allowCuts;
+  std::vector<ClassLoad> m_loads;
+  std::vector<Site> m_sites;
+  steady_clock::time_point m_start;
+  std::size_t m_pending = 0;
+  std::size_t m_samples = 0;
+  bool m_noTickets = false;
+  std::vector<double> m_delayMs;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  po::options_description options("load_driver");
+  options.add_options()("help", "print this help")(
+    "entry",
+    po::value<std::vector<std::string>>()->required(),
+    "address:port to ask for addresses first; may be repeated")(
+    "rules", po::value<std::string>()->required(), "rules file of the system")(
+    "load",
+    po::value<std::vector<std::string>>()->required(),
+    "CLASS:RATE in queries per second over all data centres; may be repeated")(
+    "stats",
+    po::value<std::string>()->default_value(""),
+    "address:port of the backend stand-ins' control endpoint")(
+    "seconds", po::value<double>()->default_value(10.0), "length of the run")(
+    "seed", po::value<std::uint64_t>()->default_value(1), "random seed")(
+    "allow-cuts",
+    po::bool_switch(),
+    "don't count cut connections as wrong, for runs that kill nodes");
+  try {
+    po::variables_map values;
+    po::store(po::parse_command_line(aCount, aValues, options), values);
+    if (values.count("help") != 0) {
+      std::cout << options;
+      return 0;
+    }
+    po::notify(values);
+    return Driver(values).run();
+  } catch (const std::exception& error) {
+    std::cerr << "load_driver: " << error.what() << '\n';
+    return 2;
+  }
+}
