Show status, rules and explanations through a node; per-class metrics

Metrics gain latency quantiles, outcomes, reasons and coverage by class, slots granted and the CPU and memory of the process.

--- a/src/caller_api_p.h
+++ b/src/caller_api_p.h
@@ -42,6 +42,14 @@
   virtual std::string statusJson() = 0;
   /// @returns metrics in the text exposition format
   virtual std::string metricsText() = 0;
+  /// @returns a recent answer of this node as JSON text with its governing
+  ///          rules, without its parts; empty when it isn't remembered
+  virtual std::string explainJson(const std::string& aRequestId) = 0;
+  /// @returns the rules that govern a class as JSON text; empty when there is
+  ///          no such class
+  virtual std::string classJson(const std::string& aClass) = 0;
+  /// @returns the rules in force and their revision as JSON text
+  virtual std::string rulesJson() = 0;
 };
 
 } // namespace toucanridge
--- a/src/caller_http.cpp
+++ b/src/caller_http.cpp
@@ -138,6 +138,8 @@
   void query(const http::http_request& aRequest);
   void status(const http::http_request& aRequest);
   void metrics(const http::http_request& aRequest);
+  void explain(const http::http_request& aRequest);
+  void rules(const http::http_request& aRequest);
 
   CallerApiI& api;
   std::unique_ptr<http::experimental::listener::http_listener> listener;
@@ -148,6 +150,8 @@
   { "POST", "/v1/query", &Impl::query },
   { "GET", "/v1/status", &Impl::status },
   { "GET", "/metrics", &Impl::metrics },
+  { "GET", "/v1/explain", &Impl::explain },
+  { "GET", "/v1/rules", &Impl::rules },
 };
 
 void
@@ -223,6 +227,39 @@
     http::status_codes::OK, api.metricsText(), "text/plain; version=0.0.4");
 }
 
+void
+CallerHttp::Impl::explain(const http::http_request& aRequest)
+{
+  const auto query = web::uri::split_query(aRequest.relative_uri().query());
+  const auto id = query.find("request_id");
+  const auto queryClass = query.find("class");
+  std::string text;
+  if (id != query.end()) {
+    text = api.explainJson(web::uri::decode(id->second));
+  } else if (queryClass != query.end()) {
+    text = api.classJson(web::uri::decode(queryClass->second));
+  }
+  if (text.empty()) {
+    refuse(aRequest,
+           http::status_codes::NotFound,
+           "no such request in this node's memory, or no such class");
+    return;
+  }
+  aRequest.reply(http::status_codes::OK, text, "application/json");
+}
+
+void
+CallerHttp::Impl::rules(const http::http_request& aRequest)
+{
+  aRequest.reply(http::status_codes::OK, api.rulesJson(), "application/json");
+}
+
+std::string
+renderAnswer(const QueryAnswer& aAnswer)
+{
+  return toJson(aAnswer).serialize();
+}
+
 CallerHttp::CallerHttp(CallerApiI& aApi)
   : m_impl(std::make_unique<Impl>(aApi))
 {
--- a/src/caller_http_p.h
+++ b/src/caller_http_p.h
@@ -30,6 +30,10 @@
   std::unique_ptr<Impl> m_impl;
 };
 
+/// @returns the answer as callers receive it, JSON text
+std::string
+renderAnswer(const QueryAnswer& aAnswer);
+
 } // namespace toucanridge
 
 #endif // TOUCANRIDGE_CALLER_HTTP_P_H
--- a/src/client_http.cpp
+++ b/src/client_http.cpp
@@ -185,13 +185,18 @@
 }
 
 tl::expected<std::string, std::string>
-Client::status(const std::string& aEntry)
+Client::get(const std::string& aEntry, const std::string& aPath)
 {
   try {
     auto client = makeClient(aEntry, kAddressTimeout);
     const http::http_response response =
-      client.request(http::methods::GET, "/v1/status").get();
-    return response.extract_utf8string(true).get();
+      client.request(http::methods::GET, aPath).get();
+    const std::string body = response.extract_utf8string(true).get();
+    if (response.status_code() != http::status_codes::OK) {
+      return tl::make_unexpected(
+        "status " + std::to_string(response.status_code()) + ": " + body);
+    }
+    return body;
   } catch (const std::exception& error) {
     return tl::make_unexpected(std::string(error.what()));
   }
--- a/src/client_http_p.h
+++ b/src/client_http_p.h
@@ -27,8 +27,12 @@
   ///          query may have been received
   QueryAnswer query(const QueryRequest& aRequest);
 
-  /// @returns an entry host's status as JSON text, or the error
-  tl::expected<std::string, std::string> status(const std::string& aEntry);
+  /// Reads one of the operators' endpoints.
+  /// @param[in] aEntry "address:port" of the host to ask
+  /// @param[in] aPath path and query, encoded
+  /// @returns the body of a 200 answer, or the error
+  static tl::expected<std::string, std::string> get(const std::string& aEntry,
+                                                    const std::string& aPath);
 
 private:
   bool refreshAddresses();
--- a/src/cmd_query.cpp
+++ b/src/cmd_query.cpp
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include "caller_http_p.h"
 #include "client_http_p.h"
 #include "settings_p.h"
 
@@ -69,7 +70,11 @@
   request.body = settings->body;
   request.deadline = settings->deadline;
   const QueryAnswer answer = client.query(request);
-  printAnswer(answer);
+  if (settings->json) {
+    std::cout << renderAnswer(answer) << '\n';
+  } else {
+    printAnswer(answer);
+  }
   return exitCodeOf(answer.outcome);
 }
 
--- a/src/cmd_rules.cpp
+++ b/src/cmd_rules.cpp
@@ -5,11 +5,24 @@
 #include <iostream>
 #include <sstream>
 
+#include "client_http_p.h"
 #include "rules_p.h"
+#include "settings_p.h"
+#include "status_table_p.h"
 
 namespace toucanridge {
 namespace {
 
+constexpr const char* kHelp =
+  "toucanridge rules check FILE                  check a rules file\n"
+  "toucanridge rules show FILE                   list every rule of a file\n"
+  "toucanridge rules show --entry A:P            list the rules in force\n"
+  "toucanridge rules explain FILE CLASS          rules of a file for a class\n"
+  "toucanridge rules explain --class C --entry A:P\n"
+  "                                              rules in force for a class\n"
+  "toucanridge rules explain REQUEST-ID --entry A:P\n"
+  "                                              rules of a recent answer\n";
+
 int
 readRules(const std::string& aFile, RulesResult& aResult)
 {
@@ -39,50 +52,118 @@
             << '\n';
 }
 
-} // namespace
+int
+printFrom(const std::string& aEntry, const std::string& aPath)
+{
+  const auto answer = Client::get(aEntry, aPath);
+  if (!answer) {
+    std::cerr << "toucanridge: " << aEntry << ": " << answer.error() << '\n';
+    return kExitFailed;
+  }
+  std::cout << rulesTable(*answer);
+  return kExitOk;
+}
 
+/// Asks the host that a request id names, or the entry host when the list
+/// doesn't have it. A request id is HOST-INCARNATION-NUMBER.
 int
-commandRules(const Arguments& aArguments)
+explainRequest(const std::string& aEntry, const std::string& aRequestId)
 {
-  if (aArguments.size() == 1 && aArguments[0] == "--help") {
-    std::cout << "toucanridge rules check FILE          check a rules file\n"
-                 "toucanridge rules show FILE           list every rule\n"
-                 "toucanridge rules explain FILE CLASS  list the rules that "
-                 "govern a class\n";
-    return kExitOk;
+  std::string host = aRequestId.substr(0, aRequestId.rfind('-'));
+  host = host.substr(0, host.rfind('-'));
+  std::string address = aEntry;
+  if (const auto status = Client::get(aEntry, "/v1/status")) {
+    for (const HostAddress& listed : listedHosts(*status)) {
+      if (listed.name == host) {
+        address = listed.address;
+      }
+    }
+  }
+  return printFrom(address, "/v1/explain?request_id=" + urlEncode(aRequestId));
+}
+
+int
+fromNode(const std::string& aVerb, const RulesSettings& aSettings)
+{
+  const std::size_t count = aSettings.arguments.size();
+  if (aVerb == "show" && count == 0 && aSettings.queryClass.empty()) {
+    return printFrom(aSettings.entry, "/v1/rules");
+  }
+  if (aVerb == "explain" && count == 0 && !aSettings.queryClass.empty()) {
+    return printFrom(aSettings.entry,
+                     "/v1/explain?class=" + urlEncode(aSettings.queryClass));
+  }
+  if (aVerb == "explain" && count == 1 && aSettings.queryClass.empty()) {
+    return explainRequest(aSettings.entry, aSettings.arguments[0]);
   }
-  const bool explain = !aArguments.empty() && aArguments[0] == "explain";
-  const bool known =
-    !aArguments.empty() &&
-    (explain || aArguments[0] == "check" || aArguments[0] == "show");
-  if (!known || aArguments.size() != (explain ? 3U : 2U)) {
+  return usageError("rules: with --entry, expected show, explain REQUEST-ID or "
+                    "explain --class C");
+}
+
+int
+fromFile(const std::string& aVerb, const std::vector<std::string>& aArguments)
+{
+  const bool explain = aVerb == "explain";
+  if (aArguments.size() != (explain ? 2U : 1U)) {
     return usageError("rules: expected check FILE, show FILE or explain FILE "
-                      "CLASS");
+                      "CLASS; or --entry");
   }
   RulesResult result;
-  const int code = readRules(aArguments[1], result);
+  const int code = readRules(aArguments[0], result);
   if (code != kExitOk) {
     return code;
   }
-  if (aArguments[0] == "check") {
-    std::cout << aArguments[1] << ": ok\n";
+  if (aVerb == "check") {
+    std::cout << aArguments[0] << ": ok\n";
     return kExitOk;
   }
-  if (aArguments[0] == "show") {
+  if (!explain) {
     for (const Provenance& rule : listRules(*result.rules)) {
       printRule(rule);
     }
     return kExitOk;
   }
-  if (result.rules->classes.count(aArguments[2]) == 0) {
-    std::cerr << "toucanridge: no rule for class '" << aArguments[2] << "'\n";
+  if (result.rules->classes.count(aArguments[1]) == 0) {
+    std::cerr << "toucanridge: no rule for class '" << aArguments[1] << "'\n";
     return kExitFailed;
   }
   for (const GoverningRule& rule :
-       governingRules(*result.rules, aArguments[2])) {
+       governingRules(*result.rules, aArguments[1])) {
     printRule({ rule.line, rule.text, rule.askedBy, "" });
   }
   return kExitOk;
 }
 
+} // namespace
+
+int
+commandRules(const Arguments& aArguments)
+{
+  if (!aArguments.empty() && aArguments[0] == "--help") {
+    std::cout << kHelp;
+    return kExitOk;
+  }
+  if (aArguments.empty() ||
+      (aArguments[0] != "check" && aArguments[0] != "show" &&
+       aArguments[0] != "explain")) {
+    return usageError("rules: expected check, show or explain; see --help");
+  }
+  const auto settings =
+    parseRulesSettings({ aArguments.begin() + 1, aArguments.end() });
+  if (!settings) {
+    if (settings.error().helpAsked) {
+      std::cout << kHelp;
+      return kExitOk;
+    }
+    return usageError(settings.error().message);
+  }
+  if (!settings->entry.empty() && aArguments[0] != "check") {
+    return fromNode(aArguments[0], *settings);
+  }
+  if (!settings->entry.empty() || !settings->queryClass.empty()) {
+    return usageError("rules: --class needs --entry, and check takes a file");
+  }
+  return fromFile(aArguments[0], settings->arguments);
+}
+
 } // namespace toucanridge
--- a/src/cmd_status.cpp
+++ b/src/cmd_status.cpp
@@ -4,6 +4,7 @@
 
 #include "client_http_p.h"
 #include "settings_p.h"
+#include "status_table_p.h"
 
 namespace toucanridge {
 
@@ -18,15 +19,36 @@
     }
     return usageError(settings.error().message);
   }
-  Client client({ settings->entry }, {});
-  const auto status = client.status(settings->entry);
-  if (!status) {
-    std::cerr << "toucanridge: " << settings->entry << ": " << status.error()
+  const auto first = Client::get(settings->entry, "/v1/status");
+  if (!first) {
+    std::cerr << "toucanridge: " << settings->entry << ": " << first.error()
               << '\n';
     return kExitFailed;
   }
-  std::cout << *status << '\n';
-  return kExitOk;
+  if (!settings->all) {
+    std::cout << (settings->json ? *first + "\n" : statusTable({ *first }, {}));
+    return kExitOk;
+  }
+  std::vector<std::string> answers;
+  std::vector<std::string> silent;
+  for (const HostAddress& host : listedHosts(*first)) {
+    const auto answer = Client::get(host.address, "/v1/status");
+    if (answer) {
+      answers.push_back(*answer);
+    } else {
+      silent.push_back(host.name + ": " + answer.error());
+    }
+  }
+  if (settings->json) {
+    std::cout << '[';
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+      std::cout << (i == 0 ? "" : ",\n") << answers[i];
+    }
+    std::cout << "]\n";
+  } else {
+    std::cout << statusTable(answers, silent);
+  }
+  return silent.empty() ? kExitOk : kExitFailed;
 }
 
 } // namespace toucanridge
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -8,11 +8,13 @@
 
 #include <boost/asio.hpp>
 
+#include "answer_memory_p.h"
 #include "backend_http_p.h"
 #include "caller_http_p.h"
 #include "log_p.h"
 #include "peer_link_p.h"
 #include "platform_http_p.h"
+#include "process_usage_p.h"
 #include "query_engine_p.h"
 #include "slot_table_p.h"
 #include "status_p.h"
@@ -27,6 +29,9 @@
 constexpr milliseconds kPlatformPoll{ 500 };
 constexpr milliseconds kSweepEvery{ 20 };
 constexpr milliseconds kAddressValidity{ 2000 };
+/// About two minutes of a node's share of the load in design 1.6; an entry
+/// takes some 300 bytes, so this stays near 5 MB of the 128 MB allowed.
+constexpr std::size_t kRememberedAnswers = 16384;
 /// Longest time that a shutdown waits for running queries; longer than any
 /// deadline of a class would need.
 constexpr std::chrono::seconds kDrainLimit{ 60 };
@@ -70,6 +75,9 @@
   void query(QueryRequest aRequest, Done aDone) override;
   std::string statusJson() override;
   std::string metricsText() override;
+  std::string explainJson(const std::string& aRequestId) override;
+  std::string classJson(const std::string& aClass) override;
+  std::string rulesJson() override;
 
   // SubSenderI
   void send(const Host& aHost, SubBatch aBatch) override;
@@ -109,6 +117,7 @@
   SlotTable slots;
   SlotChooser chooser;
   QueryEngine engine;
+  AnswerMemory answers{ kRememberedAnswers };
   PeerLinks links;
   PlatformHttp platform;
   CallerHttp callers;
@@ -235,7 +244,17 @@
 void
 Node::Impl::query(QueryRequest aRequest, Done aDone)
 {
-  engine.submit(std::move(aRequest), std::move(aDone));
+  const std::string queryClass = aRequest.queryClass;
+  engine.submit(
+    std::move(aRequest),
+    [this, queryClass, start = clock.now(), done = std::move(aDone)](
+      const QueryAnswer& aAnswer) {
+      answers.add(queryClass,
+                  aAnswer,
+                  std::chrono::duration_cast<std::chrono::microseconds>(
+                    clock.now() - start));
+      done(aAnswer);
+    });
 }
 
 std::string
@@ -251,7 +270,34 @@
 std::string
 Node::Impl::metricsText()
 {
-  return renderMetrics(views.get(), slots.status(), engine.counters());
+  return renderMetrics(views.get(),
+                       slots.status(),
+                       engine.counters(),
+                       answers.summary(),
+                       processUsage());
+}
+
+std::string
+Node::Impl::explainJson(const std::string& aRequestId)
+{
+  const auto found = answers.find(aRequestId);
+  return found ? renderExplanation(*found) : std::string();
+}
+
+std::string
+Node::Impl::classJson(const std::string& aClass)
+{
+  const ViewPtr view = views.get();
+  if (!view || view->rules->classes.count(aClass) == 0) {
+    return {};
+  }
+  return renderClassRules(*view, aClass);
+}
+
+std::string
+Node::Impl::rulesJson()
+{
+  return renderRules(views.get());
 }
 
 void
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -28,12 +28,13 @@
 /// Parses flags, then environment variables for what flags left open.
 po::variables_map
 parse(const po::options_description& aOptions,
-      const std::vector<std::string>& aArguments)
+      const std::vector<std::string>& aArguments,
+      const po::positional_options_description& aPositional)
 {
   po::variables_map values;
   po::store(po::command_line_parser(aArguments)
               .options(aOptions)
-              .positional(po::positional_options_description())
+              .positional(aPositional)
               .run(),
             values);
   if (values.count("help") != 0) {
@@ -146,10 +147,11 @@
 SettingsResult<Settings>
 run(const po::options_description& aOptions,
     const std::vector<std::string>& aArguments,
-    Fill aFill)
+    Fill aFill,
+    const po::positional_options_description& aPositional = {})
 {
   try {
-    const po::variables_map values = parse(aOptions, aArguments);
+    const po::variables_map values = parse(aOptions, aArguments, aPositional);
     if (values.count("help") != 0) {
       std::ostringstream help;
       help << aOptions;
@@ -259,18 +261,47 @@
 parseStatusSettings(const std::vector<std::string>& aArguments)
 {
   po::options_description options("toucanridge status");
-  options.add_options()("help", "print this help")(
-    "entry",
-    po::value<std::string>()->required(),
-    "address:port of an entry host")("json", po::bool_switch(), "print JSON");
+  options.add_options()("help",
+                        "print this help")("entry",
+                                           po::value<std::string>()->required(),
+                                           "address:port of an entry host")(
+    "all", po::bool_switch(), "ask every host that the entry host lists")(
+    "json", po::bool_switch(), "print JSON");
   return run<StatusSettings>(
     options,
     aArguments,
     [](const po::variables_map& aValues, StatusSettings& aSettings) {
       aSettings.entry =
         checkEndpoint(aValues["entry"].as<std::string>(), "entry");
+      aSettings.all = aValues["all"].as<bool>();
       aSettings.json = aValues["json"].as<bool>();
     });
 }
 
+SettingsResult<RulesSettings>
+parseRulesSettings(const std::vector<std::string>& aArguments)
+{
+  po::options_description options("toucanridge rules");
+  options.add_options()("help", "print this help")(
+    "entry",
+    po::value<std::string>()->default_value(""),
+    "address:port of an entry host; without it, a file is read")(
+    "class", po::value<std::string>()->default_value(""), "query class")(
+    "argument", po::value<std::vector<std::string>>()->default_value({}, ""));
+  po::positional_options_description positional;
+  positional.add("argument", -1);
+  return run<RulesSettings>(
+    options,
+    aArguments,
+    [](const po::variables_map& aValues, RulesSettings& aSettings) {
+      aSettings.arguments = aValues["argument"].as<std::vector<std::string>>();
+      const std::string entry = aValues["entry"].as<std::string>();
+      if (!entry.empty()) {
+        aSettings.entry = checkEndpoint(entry, "entry");
+      }
+      aSettings.queryClass = aValues["class"].as<std::string>();
+    },
+    positional);
+}
+
 } // namespace toucanridge
--- a/src/settings_p.h
+++ b/src/settings_p.h
@@ -41,9 +41,17 @@
 struct StatusSettings
 {
   std::string entry; ///< "address:port"
+  bool all = false;  ///< ask every host that the entry host lists
   bool json = false;
 };
 
+struct RulesSettings
+{
+  std::vector<std::string> arguments; ///< without the verb
+  std::string entry;                  ///< "address:port", empty for a file
+  std::string queryClass;
+};
+
 /// The reason a command line was refused, or the help that was asked for.
 struct SettingsError
 {
@@ -60,6 +68,8 @@
 parseQuerySettings(const std::vector<std::string>& aArguments);
 SettingsResult<StatusSettings>
 parseStatusSettings(const std::vector<std::string>& aArguments);
+SettingsResult<RulesSettings>
+parseRulesSettings(const std::vector<std::string>& aArguments);
 
 } // namespace toucanridge
 
--- a/src/status_http.cpp
+++ b/src/status_http.cpp
@@ -1,6 +1,7 @@
 #include "status_p.h"
 
 #include <sstream>
+#include <type_traits>
 
 #include <cpprest/json.h>
 
@@ -45,6 +46,10 @@
     entry["host"] = json::value::string(host.name);
     entry["data_centre"] = json::value::string(host.dataCentre);
     entry["in_service"] = json::value::boolean(aView.inService(host));
+    entry["state"] =
+      json::value::string(host.state == HostState::Live ? "live" : "leaving");
+    entry["address"] = json::value::string(host.address);
+    entry["http_port"] = json::value::number(host.httpPort);
     hosts.push_back(entry);
   }
   body["hosts"] = json::value::array(hosts);
@@ -92,34 +97,206 @@
   return body.serialize();
 }
 
+namespace {
+
+/// Writes metrics in the text exposition format.
+class MetricsText
+{
+public:
+  void type(const char* aName, const char* aType)
+  {
+    m_out << "# TYPE toucanridge_" << aName << ' ' << aType << '\n';
+  }
+
+  template<class T>
+  void value(const char* aName, const std::string& aLabels, T aValue)
+  {
+    m_out << "toucanridge_" << aName;
+    if (!aLabels.empty()) {
+      m_out << '{' << aLabels << '}';
+    }
+    m_out << ' ' << aValue << '\n';
+  }
+
+  template<class T>
+  void single(const char* aName, const char* aType, T aValue)
+  {
+    type(aName, aType);
+    value(aName, "", aValue);
+  }
+
+  std::string str() const { return m_out.str(); }
+
+private:
+  std::ostringstream m_out;
+};
+
 std::string
-renderMetrics(const ViewPtr& aView,
-              const std::vector<GateStatus>& aGates,
-              const EngineCounters& aCounters)
+label(const char* aName, const std::string& aValue)
+{
+  std::string text = std::string(aName) + "=\"";
+  for (const char c : aValue) {
+    if (c == '"' || c == '\\') {
+      text += '\\';
+    }
+    text += c == '\n' ? ' ' : c;
+  }
+  return text + '"';
+}
+
+double
+inSeconds(std::chrono::microseconds aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+void
+writeClasses(MetricsText& aOut, const std::vector<ClassSummary>& aClasses)
+{
+  aOut.type("class_answers_total", "counter");
+  for (const ClassSummary& known : aClasses) {
+    for (const auto& [outcome, count] : known.outcomes) {
+      aOut.value("class_answers_total",
+                 label("class", known.queryClass) + "," +
+                   label("outcome", outcome),
+                 count);
+    }
+  }
+  aOut.type("class_not_whole_total", "counter");
+  for (const ClassSummary& known : aClasses) {
+    for (const auto& [reason, count] : known.reasons) {
+      aOut.value("class_not_whole_total",
+                 label("class", known.queryClass) + "," +
+                   label("reason", reason),
+                 count);
+    }
+  }
+  aOut.type("class_services_answered_total", "counter");
+  for (const ClassSummary& known : aClasses) {
+    aOut.value("class_services_answered_total",
+               label("class", known.queryClass),
+               known.answered);
+  }
+  aOut.type("class_services_needed_total", "counter");
+  for (const ClassSummary& known : aClasses) {
+    aOut.value("class_services_needed_total",
+               label("class", known.queryClass),
+               known.total);
+  }
+  aOut.type("class_latency_seconds", "gauge");
+  for (const ClassSummary& known : aClasses) {
+    for (const auto& [quantile, latency] : known.latency) {
+      std::ostringstream text;
+      text << quantile;
+      aOut.value("class_latency_seconds",
+                 label("class", known.queryClass) + "," +
+                   label("quantile", text.str()),
+                 inSeconds(latency));
+    }
+  }
+}
+
+void
+writeSlots(MetricsText& aOut, const std::vector<GateStatus>& aGates)
 {
-  std::ostringstream out;
-  const auto counter = [&out](const char* aName, std::uint64_t aValue) {
-    out << "# TYPE toucanridge_" << aName << " counter\n"
-        << "toucanridge_" << aName << ' ' << aValue << '\n';
-  };
-  counter("queries_total", aCounters.queries);
-  counter("answers_whole_total", aCounters.whole);
-  counter("answers_partial_total", aCounters.partial);
-  counter("answers_not_run_total", aCounters.notRun);
-  counter("answers_unknown_total", aCounters.unknown);
-  counter("first_attempts_total", aCounters.firstAttempts);
-  counter("retries_total", aCounters.retries);
-  counter("hedges_total", aCounters.hedges);
-  counter("dropped_replies_total", aCounters.droppedReplies);
-  counter("log_lines_dropped_total", logDropped());
-  out << "# TYPE toucanridge_rules_revision gauge\n"
-      << "toucanridge_rules_revision " << (aView ? aView->id.rules : 0) << '\n'
-      << "# TYPE toucanridge_slots_in_use gauge\n";
+  aOut.type("slots_granted", "gauge");
+  for (const GateStatus& gate : aGates) {
+    aOut.value("slots_granted", label("server", gate.server), gate.held);
+  }
+  aOut.type("slots_in_use", "gauge");
+  for (const GateStatus& gate : aGates) {
+    aOut.value("slots_in_use", label("server", gate.server), gate.inUse);
+  }
+  aOut.type("slots_queued", "gauge");
   for (const GateStatus& gate : aGates) {
-    out << "toucanridge_slots_in_use{server=\"" << gate.server << "\"} "
-        << gate.inUse << '\n';
+    aOut.value("slots_queued", label("server", gate.server), gate.queued);
   }
+}
+
+template<class Rules>
+json::value
+rulesArray(const Rules& aRules)
+{
+  std::vector<json::value> list;
+  for (const auto& rule : aRules) {
+    json::value entry = json::value::object();
+    entry["line"] = json::value::number(rule.line);
+    entry["text"] = json::value::string(rule.text);
+    entry["asked_by"] = json::value::string(rule.askedBy);
+    if constexpr (std::is_same_v<typename Rules::value_type, Provenance>) {
+      entry["reason"] = json::value::string(rule.reason);
+    }
+    list.push_back(entry);
+  }
+  return json::value::array(list);
+}
+
+} // namespace
+
+std::string
+renderMetrics(const ViewPtr& aView,
+              const std::vector<GateStatus>& aGates,
+              const EngineCounters& aCounters,
+              const std::vector<ClassSummary>& aClasses,
+              const ProcessUsage& aUsage)
+{
+  MetricsText out;
+  out.single("queries_total", "counter", aCounters.queries.load());
+  out.single("answers_whole_total", "counter", aCounters.whole.load());
+  out.single("answers_partial_total", "counter", aCounters.partial.load());
+  out.single("answers_not_run_total", "counter", aCounters.notRun.load());
+  out.single("answers_unknown_total", "counter", aCounters.unknown.load());
+  out.single("first_attempts_total", "counter", aCounters.firstAttempts.load());
+  out.single("retries_total", "counter", aCounters.retries.load());
+  out.single("hedges_total", "counter", aCounters.hedges.load());
+  out.single(
+    "dropped_replies_total", "counter", aCounters.droppedReplies.load());
+  out.single("log_lines_dropped_total", "counter", logDropped());
+  out.single("rules_revision", "gauge", aView ? aView->id.rules : 0);
+  out.single("hosts_revision", "gauge", aView ? aView->id.hosts : 0);
+  out.single("process_cpu_seconds_total", "counter", inSeconds(aUsage.cpu));
+  out.single("process_resident_bytes", "gauge", aUsage.residentBytes);
+  writeClasses(out, aClasses);
+  writeSlots(out, aGates);
   return out.str();
 }
 
+std::string
+renderExplanation(const RememberedAnswer& aAnswer)
+{
+  json::value body = json::value::object();
+  body["request_id"] = json::value::string(aAnswer.requestId);
+  body["class"] = json::value::string(aAnswer.queryClass);
+  body["outcome"] = json::value::string(toString(aAnswer.outcome));
+  body["reason"] = json::value::string(aAnswer.reason);
+  body["coverage"]["answered"] = json::value::number(aAnswer.coverage.answered);
+  body["coverage"]["total"] = json::value::number(aAnswer.coverage.total);
+  body["snapshot"] = number(aAnswer.snapshot);
+  body["revision"] = number(aAnswer.revision);
+  body["took_us"] =
+    json::value::number(static_cast<std::int64_t>(aAnswer.took.count()));
+  body["rules"] = rulesArray(*aAnswer.rules);
+  return body.serialize();
+}
+
+std::string
+renderClassRules(const View& aView, const std::string& aClass)
+{
+  json::value body = json::value::object();
+  body["class"] = json::value::string(aClass);
+  body["revision"] = number(aView.id.rules);
+  body["rules"] = rulesArray(governingRules(*aView.rules, aClass));
+  return body.serialize();
+}
+
+std::string
+renderRules(const ViewPtr& aView)
+{
+  json::value body = json::value::object();
+  body["revision"] = number(aView ? aView->id.rules : 0);
+  body["rules"] =
+    aView ? rulesArray(listRules(*aView->rules)) : json::value::array();
+  return body.serialize();
+}
+
 } // namespace toucanridge
--- a/src/status_p.h
+++ b/src/status_p.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "answer_memory_p.h"
+#include "process_usage_p.h"
 #include "query_engine_p.h"
 #include "slot_table_p.h"
 #include "view_p.h"
@@ -33,7 +35,23 @@
 std::string
 renderMetrics(const ViewPtr& aView,
               const std::vector<GateStatus>& aGates,
-              const EngineCounters& aCounters);
+              const EngineCounters& aCounters,
+              const std::vector<ClassSummary>& aClasses,
+              const ProcessUsage& aUsage);
+
+/// @returns JSON text with the rules that governed the answer
+std::string
+renderExplanation(const RememberedAnswer& aAnswer);
+
+/// @param[in] aClass a class that the view's rules name
+/// @returns JSON text with the rules that govern the class now
+std::string
+renderClassRules(const View& aView, const std::string& aClass);
+
+/// @param[in] aView may be null before the first rules file arrived
+/// @returns JSON text with every rule in force
+std::string
+renderRules(const ViewPtr& aView);
 
 } // namespace toucanridge
 
