--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -189,7 +189,7 @@
     po::value<std::int64_t>()->default_value(2),
     "threads for links between nodes")(
     "http-threads",
-    po::value<std::int64_t>()->default_value(8),
+    po::value<std::int64_t>()->default_value(4),
     "threads of the HTTP library")("log-file",
                                    po::value<std::string>()->default_value(""),
                                    "log file; standard error when empty")(
--- a/src/settings_p.h
+++ b/src/settings_p.h
@@ -23,7 +23,7 @@
   std::uint16_t peerPort = 0; ///< TCP and UDP
   std::string platform;       ///< "http://address:port"
   std::uint32_t trafficThreads = 2;
-  std::uint32_t httpThreads = 8;
+  std::uint32_t httpThreads = 4;
   std::string logFile;
   LogLevel logLevel = LogLevel::Info;
 };
