--- a/src/log.cpp
+++ b/src/log.cpp
@@ -57,7 +57,7 @@
       appender = new log4cplus::FileAppender(aFile, std::ios_base::app, true);
     }
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
+      "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
     m_logger.removeAllAppenders();
     m_logger.addAppender(appender);
     m_logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
--- a/tests/commands_test.cpp
+++ b/tests/commands_test.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -235,19 +236,21 @@
   // hiding built-in defaults.
   void checksAndShowsRules()
   {
-    const char* const file = "build/commands_test_rules.txt";
+    const std::string file =
+      (std::filesystem::temp_directory_path() / "toucanridge_rules_test.txt")
+        .string();
     std::ofstream(file) << "data-centre a up # asked by X : y\n";
     {
       const Capture err(std::cerr);
       CPPUNIT_ASSERT_EQUAL(int(kExitFailed), commandRules({ "check", file }));
-      CPPUNIT_ASSERT_EQUAL(std::string(file) + ":1:15: ",
-                           err.str().substr(0, std::string(file).size() + 7));
+      CPPUNIT_ASSERT_EQUAL(file + ":1:15: ",
+                           err.str().substr(0, file.size() + 7));
       CPPUNIT_ASSERT_EQUAL(int(kExitFailed),
                            commandRules({ "check", "no-such-file" }));
       CPPUNIT_ASSERT_EQUAL(int(kExitUsage), commandRules({ "check" }));
       CPPUNIT_ASSERT_EQUAL(int(kExitUsage), commandRules({ "bogus", file }));
     }
-    std::remove(file);
+    std::remove(file.c_str());
     const Capture out(std::cout);
     const char* const good = "examples/01-pabsong/rules.txt";
     CPPUNIT_ASSERT_EQUAL(int(kExitOk), commandRules({ "check", good }));
