--- a/tools/load_driver.cpp
+++ b/tools/load_driver.cpp
@@ -14,14 +14,15 @@
 #include <sstream>
 
 #include <boost/program_options.hpp>
-// Keeps the library from defining the macro U, a template parameter in Boost.
-#define _TURN_OFF_PLATFORM_STRING
-#include <cpprest/json.h>
 
 #include "answer_check.h"
 #include "http_pool.h"
 #include "rules_p.h"
 
+// After Boost's headers, because it defines a macro U, which is a template
+// parameter there.
+#include <cpprest/json.h>
+
 namespace {
 
 namespace po = boost::program_options;
