--- a/src/client_http_p.h
+++ b/src/client_http_p.h
@@ -36,8 +36,12 @@
   ///          have received the query
   QueryAnswer query(const QueryRequest& aRequest);
 
-  /// @returns an entry host's status as JSON text, or the error
-  tl::expected<std::string, std::string> status(const std::string& aEntry);
+  /// Reads one of the operators' endpoints.
+  /// @param[in] aEntry "address:port" of the host to ask
+  /// @param[in] aPath path and query, encoded
+  /// @returns the body of a 200 answer, or the error
+  static tl::expected<std::string, std::string> get(const std::string& aEntry,
+                                                    const std::string& aPath);
 
 private:
   enum class Sent
@@ -52,9 +56,9 @@
   bool takeTicket(QueryRequest& aRequest);
   void keepTickets(const web::json::value& aBody, const std::string& aIssuer);
   Sent sendOnce(const std::string& aAddress,
-                       const QueryRequest& aRequest,
-                       std::chrono::milliseconds aTimeout,
-                       QueryAnswer& aAnswer);
+                const QueryRequest& aRequest,
+                std::chrono::milliseconds aTimeout,
+                QueryAnswer& aAnswer);
   QueryAnswer sendAnywhere(QueryRequest aRequest,
                            std::chrono::steady_clock::time_point aLimit);
 
--- a/src/control_plane_p.h
+++ b/src/control_plane_p.h
@@ -61,13 +61,13 @@
   void setEvidence(PeerEvidenceI* aEvidence) { m_evidence = aEvidence; }
   /// Tells which view is settled, on the control thread; see PeerState. Call
   /// it before init().
-  void setSettled(std::function<ViewId()> aSettled) 
+  void setSettled(std::function<ViewId()> aSettled)
   {
     m_settled = std::move(aSettled);
   }
   /// Tells under which view this node holds a lease, on the control thread;
   /// see PeerState. Call it before init().
-  void setLeased(std::function<ViewId()> aLeased) 
+  void setLeased(std::function<ViewId()> aLeased)
   {
     m_leased = std::move(aLeased);
   }
--- a/src/membership_probe.cpp
+++ b/src/membership_probe.cpp
@@ -37,9 +37,8 @@
   }
   if (now >= m_nextProbe) {
     probeNext();
-    m_nextProbe =
-      now + (m_joining || m_eager ? m_settings.joinProbeEvery
-                                  : m_settings.probeEvery);
+    m_nextProbe = now + (m_joining || m_eager ? m_settings.joinProbeEvery
+                                              : m_settings.probeEvery);
   }
   if (now >= m_nextLease) {
     probeForLease();
@@ -241,13 +240,12 @@
   }
   m_failedInRow = 0;
   m_counters.indirectAcks += aRelayed ? 1 : 0;
-  m_evidence.onProbeAcked(
-    { host,
-      aMessage.incarnation,
-      aMessage.view,
-      aMessage.settled,
-      aMessage.leased },
-    sentAt);
+  m_evidence.onProbeAcked({ host,
+                            aMessage.incarnation,
+                            aMessage.view,
+                            aMessage.settled,
+                            aMessage.leased },
+                          sentAt);
 }
 
 void
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -8,12 +8,14 @@
 
 #include <boost/asio.hpp>
 
+#include "answer_memory_p.h"
 #include "backend_http_p.h"
 #include "caller_http_p.h"
 #include "control_plane_p.h"
 #include "log_p.h"
 #include "peer_link_p.h"
 #include "platform_http_p.h"
+#include "process_usage_p.h"
 #include "quarantine_p.h"
 #include "query_engine_p.h"
 #include "rights_p.h"
@@ -31,6 +33,9 @@
 
 constexpr milliseconds kSweepEvery{ 20 };
 constexpr milliseconds kRightsTick{ 50 };
+/// About two minutes of a node's share of the load in design 1.6; an entry
+/// takes some 300 bytes, so this stays near 5 MB of the 128 MB allowed.
+constexpr std::size_t kRememberedAnswers = 16384;
 /// Longest time that a shutdown waits for running queries; longer than any
 /// deadline of a class would need.
 constexpr std::chrono::seconds kDrainLimit{ 60 };
@@ -71,6 +76,9 @@
   std::vector<std::string> tickets(std::uint32_t aCount) override;
   std::string statusJson() override;
   std::string metricsText() override;
+  std::string explainJson(const std::string& aRequestId) override;
+  std::string classJson(const std::string& aClass) override;
+  std::string rulesJson() override;
 
   // SubSenderI
   void send(const Host& aHost, SubBatch aBatch) override;
@@ -120,6 +128,7 @@
   Quarantine quarantine;
   QueryEngine engine;
   Tickets ticketRecords;
+  AnswerMemory answers{ kRememberedAnswers };
   CallerHttp callers;
   std::atomic<bool> draining{ false };
   std::atomic<bool> stopping{ false };
@@ -284,7 +293,17 @@
 void
 Node::Impl::run(QueryRequest aRequest, TicketIoI::Done aDone)
 {
-  engine.submit(std::move(aRequest), std::move(aDone));
+  const std::string queryClass = aRequest.queryClass;
+  engine.submit(
+    std::move(aRequest),
+    [this, queryClass, start = clock.now(), done = std::move(aDone)](
+      const QueryAnswer& aAnswer) {
+      answers.add(queryClass,
+                  aAnswer,
+                  std::chrono::duration_cast<std::chrono::microseconds>(
+                    clock.now() - start));
+      done(aAnswer);
+    });
 }
 
 bool
@@ -347,7 +366,32 @@
     { settings.host, settings.dataCentre, incarnation, plane.status(), {} },
     views.get(),
     slots.status(),
-    engine.counters());
+    engine.counters(),
+    answers.summary(),
+    processUsage());
+}
+
+std::string
+Node::Impl::explainJson(const std::string& aRequestId)
+{
+  const auto found = answers.find(aRequestId);
+  return found ? renderExplanation(*found) : std::string();
+}
+
+std::string
+Node::Impl::classJson(const std::string& aClass)
+{
+  const ViewPtr view = views.get();
+  if (!view || view->rules->classes.count(aClass) == 0) {
+    return {};
+  }
+  return renderClassRules(*view, aClass);
+}
+
+std::string
+Node::Impl::rulesJson()
+{
+  return renderRules(views.get());
 }
 
 void
--- a/src/query_engine_p.h
+++ b/src/query_engine_p.h
@@ -17,8 +17,8 @@
 
 #include "budget_p.h"
 #include "clock_p.h"
-#include "quarantine_p.h"
 #include "latency_p.h"
+#include "quarantine_p.h"
 #include "slot_chooser_p.h"
 #include "toucanridge/toucanridge.h"
 #include "view_p.h"
--- a/src/settings_p.h
+++ b/src/settings_p.h
@@ -25,7 +25,7 @@
   /// "address:port" of peers to ask while the platform is down
   std::vector<std::string> seeds;
   std::uint32_t trafficThreads = 2;
-  std::uint32_t httpThreads = 8;
+  std::uint32_t httpThreads = 4;
   std::string logFile;
   LogLevel logLevel = LogLevel::Info;
 };
@@ -43,9 +43,17 @@
 struct StatusSettings
 {
   std::string entry; ///< "address:port"
+  bool all = false;  ///< ask every host that the entry host lists
   bool json = false;
 };
 
+struct RulesSettings
+{
+  std::vector<std::string> arguments; ///< without the verb
+  std::string entry;                  ///< "address:port", empty for a file
+  std::string queryClass;
+};
+
 /// The reason a command line was refused, or the help that was asked for.
 struct SettingsError
 {
@@ -62,6 +70,8 @@
 parseQuerySettings(const std::vector<std::string>& aArguments);
 SettingsResult<StatusSettings>
 parseStatusSettings(const std::vector<std::string>& aArguments);
+SettingsResult<RulesSettings>
+parseRulesSettings(const std::vector<std::string>& aArguments);
 
 } // namespace toucanridge
 
--- a/tests/caller_http_test.cpp
+++ b/tests/caller_http_test.cpp
@@ -30,6 +30,9 @@
 {
   AddressAnswer addresses(const std::string&) override { return {}; }
   bool takesWork() override { return true; }
+  std::string explainJson(const std::string&) override { return {}; }
+  std::string classJson(const std::string&) override { return {}; }
+  std::string rulesJson() override { return "{}"; }
   void query(QueryRequest aRequest, Done aDone) override
   {
     ++queries;
--- a/tools/hedge_bench.cpp
+++ b/tools/hedge_bench.cpp
@@ -44,9 +44,8 @@
 readCounters(const std::vector<std::string>& aEntries)
 {
   std::map<std::string, std::uint64_t> sum;
-  Client client(aEntries, "");
   for (const std::string& entry : aEntries) {
-    const auto status = client.status(entry);
+    const auto status = Client::get(entry, "/v1/status");
     for (const std::string& name : kCounters) {
       std::smatch found;
       const std::regex pattern("\"" + name + "\":([0-9]+)");
