--- a/tests/config_sync_test.cpp
+++ b/tests/config_sync_test.cpp
@@ -184,7 +184,7 @@
   void startingPeersDoNotVouch()
   {
     ControlFleet fleet(35);
-    fleet.start(4, 1);
+    fleet.start(6, 1);
     fleet.run(seconds(5));
     const std::string old = fleet.platform.rules;
     fleet.publish(fleetRules(1, "second"));
@@ -192,7 +192,8 @@
     fleet.platform.rules = old;
     fleet.platform.rulesRevision = 1;
     fleet.at(0).paused = true;
-    for (const char* name : { "host-1", "host-2", "host-3" }) {
+    for (const char* name :
+         { "host-1", "host-2", "host-3", "host-4", "host-5" }) {
       fleet.kill(name);
       fleet.launch(name);
     }
@@ -335,7 +336,7 @@
   void damagedDeltaFallsBackToWhole()
   {
     ControlFleet fleet(40);
-    fleet.start(8, 4);
+    fleet.start(8, 1);
     fleet.run(seconds(5));
     std::uint64_t damaged = 0;
     fleet.tamper = [&](std::string& aBytes) {
@@ -347,7 +348,7 @@
         ++damaged;
       }
     };
-    fleet.publish(fleetRules(4, "second"));
+    fleet.publish(fleetRules(1, "second"));
     fleet.run(kChangeLimit);
     CPPUNIT_ASSERT(damaged > 0);
     CPPUNIT_ASSERT(fleet.all([](auto& aMember) {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -255,6 +255,8 @@
     fleet.start(8, 2);
     fleet.run(seconds(5));
     for (int i = 0; i < 20; ++i) {
+      // A probe is under way when the pause begins.
+      fleet.at(0).core.membership().onFailureHint("host-1");
       fleet.at(0).paused = true;
       fleet.run(milliseconds(1700));
       fleet.at(0).paused = false;
@@ -372,7 +374,8 @@
     }
     CPPUNIT_ASSERT(membership.counters().malformed - before > 20000);
     const auto counted = membership.counters().malformed;
-    membership.onDatagram({ "host-1", 8001 }, std::string(1201, '\1'));
+    message.items[0].payload = std::string(1200, 'x');
+    membership.onDatagram({ "host-1", 8001 }, encode(message));
     membership.onDatagram({ "host-1", 8001 }, {});
     membership.onDatagram({ "host-1", 8001 }, valid.substr(0, 40));
     CPPUNIT_ASSERT_EQUAL(counted + 3, membership.counters().malformed);
