Refuse at once when no slot of a server may be used for lack of rights

A holder whose lease has lapsed now answers not-run at once, as it does without a warmth grant, so that the entry node tries another holder instead of waiting in its queue.

--- a/scripts/scenario.py
+++ b/scripts/scenario.py
@@ -291,7 +291,7 @@
                 status, raw = await http(address, HTTP_PORT, "POST",
                                          "/v1/tickets", {}, 1.0)
                 if status == 200:
-                    return json.loads(raw)["ticket"]
+                    return json.loads(raw)["tickets"][0]
             except (OSError, asyncio.TimeoutError, ValueError, KeyError):
                 continue
         return None
--- a/tests/rights_test.cpp
+++ b/tests/rights_test.cpp
@@ -136,6 +136,10 @@
   }
 };
 
+/// Times that the slot table asks for a right: whether any slot is allowed, for
+/// the chosen slot, and right before the send.
+constexpr int kChecks = 3;
+
 struct FakeRights final : public RightsI
 {
   mutable int yes = 0; ///< answers true this many times
@@ -748,7 +752,7 @@
   void checksAgainBeforeSend()
   {
     Table table;
-    table.rights.yes = 1;
+    table.rights.yes = kChecks - 1;
     table.submit(table.slots);
     CPPUNIT_ASSERT(table.backend.sent.empty());
     table.rights.yes = 0;
@@ -791,7 +795,7 @@
     CPPUNIT_ASSERT(table.slots.settled() == ViewId{});
     table.clock.advance(kSilence);
     CPPUNIT_ASSERT(table.slots.settled() == (ViewId{ 1, 1 }));
-    table.rights.yes = 2;
+    table.rights.yes = kChecks;
     table.submit(table.slots);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.backend.sent.size());
     table.views.set(testView(1, 2, { "a1" }));
