--- a/tools/capacity.cpp
+++ b/tools/capacity.cpp
@@ -139,6 +139,7 @@
   const std::uint64_t before = residentKib();
   std::vector<ViewPtr> views;
   constexpr int kViews = 8;
+  views.reserve(kViews);
   const auto rules = parseRules(makeRules(3600)).rules;
   for (int i = 0; i < kViews; ++i) {
     views.push_back(makeView(1, rules, makeHosts(560)));
--- a/tools/load_driver.cpp
+++ b/tools/load_driver.cpp
@@ -350,7 +350,8 @@
     std::string ticket;
     try {
       if (aReply.ok && aReply.status == 200) {
-        ticket = json::value::parse(aReply.body).at("ticket").as_string();
+        ticket =
+          json::value::parse(aReply.body).at("tickets").at(0).as_string();
       }
     } catch (const std::exception&) {
       ++aLoad.counts.faults["malformed"];
