--- a/scripts/scenarios.py
+++ b/scripts/scenarios.py
@@ -33,9 +33,9 @@
         return "green" if all(found) else "red"
     with open(os.path.join(ROOT, "docs", "proofs.md"), "w") as out:
         out.write("# Proofs\n\nWritten by `make scenarios` from the files in "
-                  "tests/scenarios. A cell is green when every\nscenario of "
-                  "that promise and fault passed, red when one failed, and - "
-                  "when nothing\nproves it yet.\n\n")
+                  "tests/scenarios. A cell is green when\nevery scenario of "
+                  "that promise and fault passed, red when one failed, and -\n"
+                  "when nothing proves it yet.\n\n")
         out.write("| promise | " + " | ".join(FAULTS) + " |\n")
         out.write("|---" * (len(FAULTS) + 1) + "|\n")
         for promise in PROMISES:
@@ -43,7 +43,10 @@
                 cell(promise, fault) for fault in FAULTS)))
         out.write("\n## What the runs printed\n\n```\n")
         for name in sorted(results):
-            out.write(results[name][1])
+            # The folder of the logs differs from run to run.
+            out.write("".join(
+                line for line in results[name][1].splitlines(True)
+                if not line.startswith("  logs kept")))
         out.write("```\n")
 
 
--- a/src/rules_parse.cpp
+++ b/src/rules_parse.cpp
@@ -1,21 +1,12 @@
-#include "rules_p.h"
+#include "rules_parser_p.h"
 
 #include <algorithm>
-#include <cctype>
-#include <charconv>
-#include <set>
 
 namespace toucanridge {
 namespace {
 
 using std::chrono::milliseconds;
 
-struct Token
-{
-  std::string text;
-  std::uint32_t column = 1;
-};
-
 constexpr std::uint32_t kMaxSlots = 64;
 constexpr std::uint32_t kMaxConnections = 10000;
 constexpr std::uint32_t kMaxPriority = 9;
@@ -23,301 +14,42 @@
 constexpr milliseconds kMinLease{ 500 };
 constexpr milliseconds kMaxLease{ 600000 };
 
-std::vector<Token>
-tokenize(std::string_view aLine)
+bool
+isIpv4(std::string_view aText)
 {
-  std::vector<Token> tokens;
-  std::size_t pos = 0;
-  while (pos < aLine.size()) {
-    if (std::isspace(static_cast<unsigned char>(aLine[pos])) != 0) {
-      ++pos;
-      continue;
+  int parts = 0;
+  while (true) {
+    const auto dot = aText.find('.');
+    std::uint32_t value = 0;
+    if (!readNumber(aText.substr(0, dot), value) || value > 255) {
+      return false;
     }
-    const std::size_t start = pos;
-    while (pos < aLine.size() &&
-           std::isspace(static_cast<unsigned char>(aLine[pos])) == 0) {
-      ++pos;
+    ++parts;
+    if (dot == std::string_view::npos) {
+      return parts == 4;
     }
-    tokens.push_back({ std::string(aLine.substr(start, pos - start)),
-                       static_cast<std::uint32_t>(start + 1) });
-  }
-  return tokens;
-}
-
-std::string
-trim(std::string_view aText)
-{
-  const auto first = aText.find_first_not_of(" \t\r");
-  if (first == std::string_view::npos) {
-    return {};
+    aText.remove_prefix(dot + 1);
   }
-  const auto last = aText.find_last_not_of(" \t\r");
-  return std::string(aText.substr(first, last - first + 1));
-}
-
-template<class T>
-bool
-readNumber(std::string_view aText, T& aValue, int aBase = 10)
-{
-  const char* end = aText.data() + aText.size();
-  const auto result = std::from_chars(aText.data(), end, aValue, aBase);
-  return result.ec == std::errc() && result.ptr == end && !aText.empty();
 }
 
-bool
-isName(const std::string& aText)
-{
-  return !aText.empty() && aText.size() <= 64 &&
-         std::all_of(aText.begin(), aText.end(), [](unsigned char aChar) {
-           return std::isalnum(aChar) != 0 || aChar == '-' || aChar == '_' ||
-                  aChar == '/' || aChar == '.';
-         });
-}
-
-/// Parses one file; holds the position for fault messages.
-class Parser
-{
-public:
-  RulesResult run(std::string_view aText);
-
-private:
-  using Rule = void (Parser::*)();
-  struct Keyword
-  {
-    const char* name;
-    Rule parse;
-  };
-  static const Keyword kKeywords[];
-
-  void line(std::string_view aLine);
-  bool comment(std::string_view aComment, std::uint32_t aColumn);
-  void crossCheck();
-  void checkSnapshots();
-  void checkClasses();
-  template<class Map>
-  void checkClassNames(const Map& aMap, const char* aWhat);
-
-  void dataCentre();
-  void host();
-  void service();
-  void server();
-  void snapshot();
-  void queryClass();
-  void hedge();
-  void retry();
-  void share();
-  void rights();
-  void lift();
-
-  void fault(std::uint32_t aColumn, std::string aMessage);
-  void faultAt(const Provenance& aWhere, std::string aMessage);
-  const Token* next(const char* aWhat);
-  bool word(const char* aExpected);
-  bool name(const char* aWhat, std::string& aValue);
-  bool count(const char* aWhat,
-             std::uint32_t aMin,
-             std::uint32_t aMax,
-             std::uint32_t& aValue);
-  bool time(const char* aWhat,
-            milliseconds aMin,
-            milliseconds aMax,
-            milliseconds& aValue);
-  bool percent(const char* aWhat, double& aValue);
-  bool choice(const char* aWhat,
-              const std::vector<const char*>& aChoices,
-              std::size_t& aValue);
-  bool servers(ServiceRule& aService);
-  bool serviceNames(const std::string& aApplication,
-                    std::vector<std::string>& aNames);
-  bool atEnd() const { return m_next >= m_tokens.size(); }
-  bool ended();
-
-  std::shared_ptr<RuleSet> m_rules = std::make_shared<RuleSet>();
-  std::vector<RuleFault> m_faults;
-  std::vector<Token> m_tokens;
-  std::size_t m_next = 0;
-  std::uint32_t m_line = 0;
-  std::uint32_t m_endColumn = 1;
-  Provenance m_from;
-  std::vector<std::pair<std::string, Provenance>> m_leaving;
-  std::map<std::string, std::string> m_serverOwner;
-};
+} // namespace
 
-const Parser::Keyword Parser::kKeywords[] = {
-  { "data-centre", &Parser::dataCentre },
-  { "host", &Parser::host },
-  { "service", &Parser::service },
-  { "server", &Parser::server },
-  { "snapshot", &Parser::snapshot },
-  { "class", &Parser::queryClass },
-  { "hedge", &Parser::hedge },
-  { "retry", &Parser::retry },
-  { "share", &Parser::share },
-  { "rights", &Parser::rights },
-  { "lift", &Parser::lift },
+const RulesParser::Keyword RulesParser::kKeywords[] = {
+  { "data-centre", &RulesParser::dataCentre },
+  { "host", &RulesParser::host },
+  { "service", &RulesParser::service },
+  { "server", &RulesParser::server },
+  { "snapshot", &RulesParser::snapshot },
+  { "class", &RulesParser::queryClass },
+  { "hedge", &RulesParser::hedge },
+  { "retry", &RulesParser::retry },
+  { "share", &RulesParser::share },
+  { "rights", &RulesParser::rights },
+  { "lift", &RulesParser::lift },
 };
 
 void
-Parser::fault(std::uint32_t aColumn, std::string aMessage)
-{
-  m_faults.push_back({ m_line, aColumn, std::move(aMessage) });
-}
-
-void
-Parser::faultAt(const Provenance& aWhere, std::string aMessage)
-{
-  m_faults.push_back({ aWhere.line, 1, std::move(aMessage) });
-}
-
-const Token*
-Parser::next(const char* aWhat)
-{
-  if (atEnd()) {
-    fault(m_endColumn, std::string("expected ") + aWhat);
-    return nullptr;
-  }
-  return &m_tokens[m_next++];
-}
-
-bool
-Parser::word(const char* aExpected)
-{
-  const Token* token = next((std::string("'") + aExpected + "'").c_str());
-  if (token == nullptr) {
-    return false;
-  }
-  if (token->text != aExpected) {
-    fault(token->column,
-          std::string("expected '") + aExpected + "', found '" + token->text +
-            "'");
-    return false;
-  }
-  return true;
-}
-
-bool
-Parser::name(const char* aWhat, std::string& aValue)
-{
-  const Token* token = next(aWhat);
-  if (token == nullptr) {
-    return false;
-  }
-  if (!isName(token->text)) {
-    fault(token->column,
-          std::string("invalid ") + aWhat + " '" + token->text +
-            "': letters, digits and - _ / . up to 64");
-    return false;
-  }
-  aValue = token->text;
-  return true;
-}
-
-bool
-Parser::count(const char* aWhat,
-              std::uint32_t aMin,
-              std::uint32_t aMax,
-              std::uint32_t& aValue)
-{
-  const Token* token = next(aWhat);
-  if (token == nullptr) {
-    return false;
-  }
-  if (!readNumber(token->text, aValue) || aValue < aMin || aValue > aMax) {
-    fault(token->column,
-          std::string(aWhat) + " must be a whole number from " +
-            std::to_string(aMin) + " to " + std::to_string(aMax));
-    return false;
-  }
-  return true;
-}
-
-bool
-Parser::time(const char* aWhat,
-             milliseconds aMin,
-             milliseconds aMax,
-             milliseconds& aValue)
-{
-  const Token* token = next(aWhat);
-  if (token == nullptr) {
-    return false;
-  }
-  std::string_view text = token->text;
-  std::int64_t unit = 0;
-  if (text.size() > 2 && text.substr(text.size() - 2) == "ms") {
-    unit = 1;
-    text.remove_suffix(2);
-  } else if (text.size() > 1 && text.back() == 's') {
-    unit = 1000;
-    text.remove_suffix(1);
-  }
-  std::int64_t value = 0;
-  const bool valid = unit != 0 && readNumber(text, value) && value >= 0 &&
-                     value <= aMax.count() &&
-                     milliseconds(value * unit) >= aMin &&
-                     milliseconds(value * unit) <= aMax;
-  if (!valid) {
-    fault(token->column,
-          std::string(aWhat) + " must be a time from " +
-            std::to_string(aMin.count()) + "ms to " +
-            std::to_string(aMax.count()) + "ms, such as 20ms or 2s");
-    return false;
-  }
-  aValue = milliseconds(value * unit);
-  return true;
-}
-
-bool
-Parser::percent(const char* aWhat, double& aValue)
-{
-  const Token* token = next(aWhat);
-  if (token == nullptr) {
-    return false;
-  }
-  std::string_view text = token->text;
-  std::uint32_t value = 0;
-  if (text.empty() || text.back() != '%' ||
-      !readNumber(text.substr(0, text.size() - 1), value) || value > 100) {
-    fault(token->column,
-          std::string(aWhat) + " must be a share from 0% to 100%");
-    return false;
-  }
-  aValue = value / 100.0;
-  return true;
-}
-
-bool
-Parser::choice(const char* aWhat,
-               const std::vector<const char*>& aChoices,
-               std::size_t& aValue)
-{
-  const Token* token = next(aWhat);
-  if (token == nullptr) {
-    return false;
-  }
-  std::string list;
-  for (std::size_t i = 0; i < aChoices.size(); ++i) {
-    if (token->text == aChoices[i]) {
-      aValue = i;
-      return true;
-    }
-    list += std::string(i == 0 ? "" : " or ") + aChoices[i];
-  }
-  fault(token->column, std::string(aWhat) + " must be " + list);
-  return false;
-}
-
-bool
-Parser::ended()
-{
-  if (atEnd()) {
-    return true;
-  }
-  fault(m_tokens[m_next].column, "unexpected '" + m_tokens[m_next].text + "'");
-  return false;
-}
-
-void
-Parser::dataCentre()
+RulesParser::dataCentre()
 {
   DataCentreRule rule;
   std::size_t state = 0;
@@ -335,7 +67,7 @@
 }
 
 void
-Parser::host()
+RulesParser::host()
 {
   HostRule rule;
   if (!name("host name", rule.name) || !word("out") || !ended()) {
@@ -348,25 +80,7 @@
 }
 
 bool
-isIpv4(std::string_view aText)
-{
-  int parts = 0;
-  while (true) {
-    const auto dot = aText.find('.');
-    std::uint32_t value = 0;
-    if (!readNumber(aText.substr(0, dot), value) || value > 255) {
-      return false;
-    }
-    ++parts;
-    if (dot == std::string_view::npos) {
-      return parts == 4;
-    }
-    aText.remove_prefix(dot + 1);
-  }
-}
-
-bool
-Parser::servers(ServiceRule& aService)
+RulesParser::servers(ServiceRule& aService)
 {
   const Token* token = next("servers");
   if (token == nullptr) {
@@ -406,7 +120,7 @@
 }
 
 void
-Parser::service()
+RulesParser::service()
 {
   ServiceRule rule;
   const bool valid =
@@ -439,7 +153,7 @@
 }
 
 void
-Parser::server()
+RulesParser::server()
 {
   const Token* token = next("server address");
   if (token == nullptr) {
@@ -454,8 +168,8 @@
 /// Reads "01..20", "01,02" or whole names; a number stands for
 /// "application/number".
 bool
-Parser::serviceNames(const std::string& aApplication,
-                     std::vector<std::string>& aNames)
+RulesParser::serviceNames(const std::string& aApplication,
+                          std::vector<std::string>& aNames)
 {
   const Token* token = next("services");
   if (token == nullptr) {
@@ -502,7 +216,7 @@
 }
 
 void
-Parser::snapshot()
+RulesParser::snapshot()
 {
   SnapshotRule rule;
   std::uint32_t id = 0;
@@ -519,7 +233,7 @@
 }
 
 void
-Parser::queryClass()
+RulesParser::queryClass()
 {
   ClassRule rule;
   std::size_t wait = 0;
@@ -546,7 +260,7 @@
 }
 
 void
-Parser::hedge()
+RulesParser::hedge()
 {
   std::string className;
   HedgeRule rule;
@@ -590,7 +304,7 @@
 }
 
 void
-Parser::retry()
+RulesParser::retry()
 {
   std::string className;
   RetryRule rule;
@@ -605,7 +319,7 @@
 }
 
 void
-Parser::share()
+RulesParser::share()
 {
   std::string className;
   ShareRule rule;
@@ -620,7 +334,7 @@
 }
 
 void
-Parser::rights()
+RulesParser::rights()
 {
   RightsRule rule;
   if (!word("lease") || !time("lease", kMinLease, kMaxLease, rule.lease) ||
@@ -636,7 +350,7 @@
 }
 
 void
-Parser::lift()
+RulesParser::lift()
 {
   if (!word("quarantine")) {
     return;
@@ -659,7 +373,7 @@
 
 /// Reads "asked by NAME : REASON" into m_from.
 bool
-Parser::comment(std::string_view aComment, std::uint32_t aColumn)
+RulesParser::comment(std::string_view aComment, std::uint32_t aColumn)
 {
   constexpr std::string_view kPrefix = "asked by ";
   const std::string text = trim(aComment);
@@ -679,7 +393,7 @@
 }
 
 void
-Parser::line(std::string_view aLine)
+RulesParser::line(std::string_view aLine)
 {
   const auto hash = aLine.find('#');
   const std::string_view rule = aLine.substr(0, hash);
@@ -705,86 +419,8 @@
   }
 }
 
-void
-Parser::checkSnapshots()
-{
-  for (const auto& [application, snapshot] : m_rules->snapshots) {
-    std::set<std::string> seen;
-    for (const std::string& service : snapshot.services) {
-      if (m_rules->findService(service) == nullptr) {
-        faultAt(snapshot.from, "no rule for service '" + service + "'");
-      }
-      if (!seen.insert(service).second) {
-        faultAt(snapshot.from, "service '" + service + "' is named twice");
-      }
-    }
-  }
-}
-
-template<class Map>
-void
-Parser::checkClassNames(const Map& aMap, const char* aWhat)
-{
-  for (const auto& [className, rule] : aMap) {
-    if (m_rules->classes.count(className) == 0) {
-      faultAt(rule.from,
-              std::string(aWhat) + " names unknown class '" + className + "'");
-    }
-  }
-}
-
-void
-Parser::checkClasses()
-{
-  for (const auto& [className, rule] : m_rules->classes) {
-    const auto snapshot = m_rules->snapshots.find(rule.application);
-    if (snapshot == m_rules->snapshots.end()) {
-      faultAt(rule.from,
-              "application '" + rule.application + "' has no snapshot rule");
-    } else if (rule.fanOut == FanOut::All && !rule.idempotent) {
-      faultAt(rule.from, "a class that is not idempotent needs fan-out one");
-    }
-  }
-  checkClassNames(m_rules->hedges, "hedge");
-  checkClassNames(m_rules->retries, "retry");
-  checkClassNames(m_rules->shares, "share");
-  for (const auto& [className, rule] : m_rules->hedges) {
-    const auto found = m_rules->classes.find(className);
-    if (found != m_rules->classes.end() && !found->second.idempotent &&
-        rule.mode != HedgeRule::Mode::Off) {
-      faultAt(rule.from,
-              "class '" + className + "' is not idempotent: hedge must be off");
-    }
-  }
-}
-
-void
-Parser::crossCheck()
-{
-  for (const auto& [address, from] : m_leaving) {
-    bool found = false;
-    for (ServiceRule& service : m_rules->services) {
-      for (ServerRule& server : service.servers) {
-        if (server.name == address) {
-          server.leaving = from;
-          found = true;
-        }
-      }
-    }
-    if (!found) {
-      faultAt(from, "no service has a server '" + address + "'");
-    }
-  }
-  checkSnapshots();
-  checkClasses();
-  if (m_rules->dataCentres.empty()) {
-    m_line = 1;
-    fault(1, "no data-centre rule: at least one data centre is needed");
-  }
-}
-
 RulesResult
-Parser::run(std::string_view aText)
+RulesParser::run(std::string_view aText)
 {
   if (aText.size() > kMaxRulesBytes) {
     return { nullptr, { { 1, 1, "the file is over 1000000 bytes" } } };
@@ -799,8 +435,8 @@
   crossCheck();
   std::stable_sort(m_faults.begin(),
                    m_faults.end(),
-                   [](const RuleFault& a_, const RuleFault& aRight) {
-                     return a_.line < aRight.line;
+                   [](const RuleFault& aLeft, const RuleFault& aRight) {
+                     return aLeft.line < aRight.line;
                    });
   if (!m_faults.empty()) {
     return { nullptr, m_faults };
@@ -808,12 +444,10 @@
   return { m_rules, {} };
 }
 
-} // namespace
-
 RulesResult
 parseRules(std::string_view aText)
 {
-  return Parser().run(aText);
+  return RulesParser().run(aText);
 }
 
 } // namespace toucanridge
