Backend client: write the body without waiting on the library's pool

Cause: setBody waited on two tasks of cpprestsdk's thread pool while it ran on a thread of that pool. Once every pool thread was in a send, no thread was left to complete the tasks, and the node hung without a log line. Ruled out: the node's own locks and the deadline timer; the waits alone hang a test that sends from 96 pool tasks (0 of 96 ended in 8 s before, 96 after). Change: the body is written and closed by a continuation that nothing waits for; a failed write gives a log line.

--- a/src/backend_http.cpp
+++ b/src/backend_http.cpp
@@ -13,6 +13,8 @@
 #include <cpprest/http_client.h>
 #include <cpprest/producerconsumerstream.h>
 
+#include "log_p.h"
+
 namespace toucanridge {
 namespace {
 
@@ -55,35 +57,50 @@
 /// connection after it has read the request, cpprestsdk rewinds the body and
 /// sends the request again on a new connection. It can't do so with a stream
 /// that has no seek, and reports the error instead.
+///
+/// The body is written by a task that nothing waits for: sends come from
+/// threads of the library's pool, and the task needs one of those threads.
 BodyBuffer
-setBody(http::http_request& aRequest, const std::string& aBody)
+setBody(http::http_request& aRequest,
+        const std::shared_ptr<const BackendCall>& aCall)
 {
   BodyBuffer writable;
-  if (!aBody.empty()) {
-    writable
-      .putn_nocopy(reinterpret_cast<const std::uint8_t*>(aBody.data()),
-                   aBody.size())
-      .wait();
-  }
-  writable.close(std::ios_base::out).wait();
   aRequest.set_body(
-    writable.create_istream(), aBody.size(), "text/plain; charset=utf-8");
+    writable.create_istream(), aCall->body.size(), "text/plain; charset=utf-8");
+  if (aCall->body.empty()) {
+    writable.close(std::ios_base::out);
+    return writable;
+  }
+  writable
+    .putn_nocopy(reinterpret_cast<const std::uint8_t*>(aCall->body.data()),
+                 aCall->body.size())
+    .then([writable, aCall](const pplx::task<std::size_t>& aWritten) mutable {
+      try {
+        aWritten.get();
+      } catch (const std::exception& error) {
+        logWrite(LogLevel::Warn,
+                 LogLine("body-not-written")
+                   .add("request", aCall->requestId)
+                   .addText("reason", error.what()));
+      }
+      writable.close(std::ios_base::out);
+    });
   return writable;
 }
 
 http::http_request
-makeRequest(const BackendCall& aCall, BodyBuffer& aBody)
+makeRequest(const std::shared_ptr<const BackendCall>& aCall, BodyBuffer& aBody)
 {
   http::http_request request(http::methods::POST);
-  request.set_request_uri("/v1/search?service=" + aCall.service);
+  request.set_request_uri("/v1/search?service=" + aCall->service);
   auto& headers = request.headers();
-  const auto left = duration_cast<milliseconds>(aCall.timeLeft);
-  headers.add("Request-Id", aCall.requestId);
-  headers.add("Attempt", aCall.attempt);
-  headers.add("Snapshot", aCall.snapshot);
+  const auto left = duration_cast<milliseconds>(aCall->timeLeft);
+  headers.add("Request-Id", aCall->requestId);
+  headers.add("Attempt", aCall->attempt);
+  headers.add("Snapshot", aCall->snapshot);
   headers.add("Deadline-Ms", left.count());
   headers.add("Deadline-At", (unixTime() + left).count());
-  aBody = setBody(request, aCall.body);
+  aBody = setBody(request, aCall);
   return request;
 }
 
@@ -286,7 +303,7 @@
   const auto call = std::make_shared<BackendCall>(std::move(aCall));
   const auto reply = std::make_shared<BackendReply>();
   const auto started = SystemClock().now();
-  const http::http_request request = makeRequest(*call, running->body);
+  const http::http_request request = makeRequest(call, running->body);
   running->timer.expires_after(call->timeLeft);
   running->timer.async_wait([running](const boost::system::error_code& aError) {
     if (!aError) {
--- a/tests/backend_http_test.cpp
+++ b/tests/backend_http_test.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include <boost/asio.hpp>
+#include <pplx/pplxtasks.h>
 
 #include "backend_http_p.h"
 #include "script_server.h"
@@ -45,6 +46,7 @@
   CPPUNIT_TEST(replacesSilentConnection);
   CPPUNIT_TEST(cancelClosesConnection);
   CPPUNIT_TEST(keepsConnectionShare);
+  CPPUNIT_TEST(sendsFromEveryPoolThread);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -241,6 +243,27 @@
                            server.peakOpen() <= kShare);
   }
 
+  // Guards against a send that waits for a thread of the pool it runs on: once
+  // every thread of the pool sends, none is left, and the process hangs.
+  void sendsFromEveryPoolThread()
+  {
+    constexpr int kSends = 96; // more than the pool's 40 threads
+    ScriptServer server(kAddress, [](std::size_t, const std::string& aHead) {
+      return Step{ ScriptServer::echo(aHead, "ok") };
+    });
+    std::atomic<int> ended{ 0 };
+    for (int i = 0; i < kSends; ++i) {
+      pplx::create_task([&, i] {
+        BackendCall made = makeCall(server.name(), milliseconds(4000), "x");
+        made.key.slot = static_cast<std::uint32_t>(i);
+        m_backend->send(std::move(made), [&](BackendReply) { ++ended; });
+      });
+    }
+    CPPUNIT_ASSERT_MESSAGE(
+      std::to_string(ended.load()),
+      waitFor([&] { return ended == kSends; }, milliseconds(8000)));
+  }
+
 private:
   using Step = ScriptServer::Step;
   using Guard =
