--- /dev/null
+++ b/src/dispatcher.cpp
@@ -0,0 +1,200 @@
+#include "dispatcher_p.h"
+
+#include <algorithm>
+
+#include "log_p.h"
+
+namespace toucanridge {
+
+const char*
+toString(AttemptEnd aEnd) noexcept
+{
+  constexpr const char* kNames[] = {
+    "good", "failed", "lost", "not-run", "unreachable"
+  };
+  return kNames[static_cast<std::size_t>(aEnd)];
+}
+
+void
+Attempt::cancel()
+{
+  if (!m_running) {
+    return;
+  }
+  m_running = false;
+  --m_entry->running;
+  m_ticket->cancel();
+  const TimePoint now = m_clock->now();
+  const Duration waited = now - m_sentAt;
+  m_entry->health.onSilence(now, m_timing->ratio(waited));
+  m_timing->onLatency(waited);
+}
+
+Dispatcher::Dispatcher(const ClockI& aClock,
+                       std::uint64_t aSeed,
+                       const TrafficProtocolI& aProtocol,
+                       ServerTable& aServers,
+                       const BudgetLimit& aBudget)
+  : m_clock(aClock)
+  , m_random(aSeed)
+  , m_protocol(aProtocol)
+  , m_servers(aServers)
+  , m_limit(aBudget)
+{
+}
+
+SharedBudget&
+Dispatcher::budget(const std::string& aService)
+{
+  auto found = m_budgets.find(aService);
+  if (found == m_budgets.end()) {
+    found = m_budgets.emplace(aService, SharedBudget(m_clock, m_limit)).first;
+    found->second.setHosts(m_hosts);
+  }
+  return found->second;
+}
+
+void
+Dispatcher::setHosts(std::size_t aHosts)
+{
+  m_hosts = aHosts;
+  for (auto& entry : m_budgets) {
+    entry.second.setHosts(aHosts);
+  }
+}
+
+ServerEntryPtr
+Dispatcher::choose(const std::string& aService,
+                   const std::vector<std::string>& aTried)
+{
+  const TimePoint now = m_clock.now();
+  const auto& servers = m_servers.usable(aService);
+  std::vector<ServerOption> options;
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    const ServerEntry& entry = *servers[i];
+    const bool tried =
+      std::find(aTried.begin(), aTried.end(), entry.server.id) != aTried.end();
+    if (tried || entry.replaced || !entry.cold.allows(now)) {
+      continue;
+    }
+    ServerOption option;
+    option.index = i;
+    option.slowness = entry.health.slowness(now);
+    option.failures = entry.health.failures(now);
+    option.avoided = entry.health.isAvoided(now);
+    option.near = m_servers.isNear(entry.server);
+    option.running = entry.running;
+    option.slots = entry.server.slots;
+    options.push_back(option);
+  }
+  const double uniform = std::uniform_real_distribution<double>()(m_random);
+  const std::size_t best = chooseServer(options, uniform);
+  return best == options.size() ? nullptr : servers[options[best].index];
+}
+
+void
+Dispatcher::onRequest(const std::string& aService)
+{
+  budget(aService).onRequest();
+}
+
+AttemptPtr
+Dispatcher::send(const AttemptOrder& aOrder,
+                 const std::string& aService,
+                 const std::vector<std::string>& aTried,
+                 AttemptKind aKind,
+                 Done aDone)
+{
+  const ServerEntryPtr entry = choose(aService, aTried);
+  if (!entry) {
+    return nullptr;
+  }
+  if (aKind == AttemptKind::First) {
+    ++m_counters.first;
+  } else if (budget(aService).take()) {
+    ++m_counters.extra;
+  } else {
+    ++m_counters.denied;
+    return nullptr;
+  }
+  return sendTo(aOrder, entry, std::move(aDone));
+}
+
+AttemptPtr
+Dispatcher::sendTo(const AttemptOrder& aOrder,
+                   const ServerEntryPtr& aEntry,
+                   Done aDone)
+{
+  auto attempt = std::make_shared<Attempt>();
+  attempt->m_clock = &m_clock;
+  attempt->m_timing = &aOrder.timing;
+  attempt->m_entry = aEntry;
+  attempt->m_sentAt = m_clock.now();
+  attempt->m_running = true;
+  ++aEntry->running;
+  aEntry->cold.onSend(attempt->m_sentAt);
+  attempt->m_ticket = aEntry->pool->send(
+    m_protocol.makeCall(aOrder.request,
+                        aOrder.terms,
+                        aEntry->server,
+                        aOrder.deadline - attempt->m_sentAt),
+    [this, attempt, done = std::move(aDone)](ExchangeResult aResult) {
+      attempt->m_running = false;
+      --attempt->m_entry->running;
+      done(conclude(*attempt, std::move(aResult)));
+    });
+  return attempt;
+}
+
+/// Says what a result means, and learns from it.
+AttemptResult
+Dispatcher::conclude(const Attempt& aAttempt, ExchangeResult aResult)
+{
+  const TimePoint now = m_clock.now();
+  const Duration latency = now - aAttempt.m_sentAt;
+  ServerEntry& entry = *aAttempt.m_entry;
+  AttemptResult result;
+  result.reason = aResult.reason;
+  result.server = entry.server.id;
+  switch (aResult.end) {
+    case ExchangeEnd::ConnectFailed:
+    case ExchangeEnd::NotSent:
+      result.end = AttemptEnd::Unreachable;
+      entry.health.onUnreachable(now);
+      break;
+    case ExchangeEnd::Broken:
+    case ExchangeEnd::Malformed:
+      result.end = AttemptEnd::Lost;
+      entry.health.onFailure(now);
+      break;
+    case ExchangeEnd::Answered:
+      result.answer = m_protocol.readAnswer(aResult.response);
+      result.response = std::move(aResult.response);
+      if (result.answer.good) {
+        result.end = AttemptEnd::Good;
+        entry.health.onAnswer(now, aAttempt.m_timing->ratio(latency));
+        aAttempt.m_timing->onLatency(latency);
+      } else {
+        result.end = result.answer.notRun || result.answer.otherServer
+                       ? AttemptEnd::NotRun
+                       : AttemptEnd::Failed;
+        result.reason = "server failed";
+        entry.replaced |= result.answer.otherServer;
+        entry.health.onFailure(now);
+      }
+      break;
+  }
+  ++m_counters.ends[static_cast<std::size_t>(result.end)];
+  if (result.end != AttemptEnd::Good && logEnabled(LogLevel::Debug)) {
+    logWrite(LogLevel::Debug,
+             LogLine("attempt-failed")
+               .add("server", entry.server.id)
+               .add("service", entry.server.service)
+               .add("end", toString(result.end))
+               .add("status", result.response.result_int())
+               .addText("reason", result.reason));
+  }
+  return result;
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/dispatcher_p.h
@@ -0,0 +1,143 @@
+#ifndef TOUCANRIDGE_DISPATCHER_P_H
+#define TOUCANRIDGE_DISPATCHER_P_H
+
+/// Sends single attempts of requests to backend servers: chooses the server,
+/// spends the budgets, learns from the result.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "answer_timing_p.h"
+#include "clock_p.h"
+#include "server_table_p.h"
+#include "shared_budget_p.h"
+#include "traffic_protocol_p.h"
+
+namespace toucanridge {
+
+enum class AttemptEnd : std::uint8_t
+{
+  Good,
+  Failed,      ///< the server answered with a failure
+  Lost,        ///< no answer; the request may have run
+  NotRun,      ///< the server says that it didn't run
+  Unreachable, ///< nothing was sent
+};
+
+/// @returns "good", "failed", "lost", "not-run" or "unreachable"
+const char*
+toString(AttemptEnd aEnd) noexcept;
+
+/// @returns true when the server may have run the request
+constexpr bool
+mayHaveRun(AttemptEnd aEnd)
+{
+  return aEnd != AttemptEnd::NotRun && aEnd != AttemptEnd::Unreachable;
+}
+
+struct AttemptResult
+{
+  AttemptEnd end = AttemptEnd::Unreachable;
+  HttpResponse response; ///< when good or failed
+  ServerAnswer answer;   ///< when good or failed
+  std::string server;    ///< id
+  const char* reason = "";
+};
+
+/// Whether an attempt counts against the budget of extra load.
+enum class AttemptKind : std::uint8_t
+{
+  First, ///< of a request at a service
+  Extra, ///< hedge or retry
+};
+
+/// A request as all its attempts see it. Kept alive by the query.
+struct AttemptOrder
+{
+  const HttpRequest& request;
+  const CallerTerms& terms;
+  const Route& route;
+  RouteTiming& timing;
+  TimePoint deadline; ///< until which servers may work on it
+};
+
+/// One attempt at one server.
+class Attempt
+{
+public:
+  TimePoint sentAt() const { return m_sentAt; }
+  const std::string& server() const { return m_entry->server.id; }
+  /// Gives the attempt up; its callback isn't called any more.
+  void cancel();
+
+private:
+  friend class Dispatcher;
+
+  const ClockI* m_clock = nullptr;
+  RouteTiming* m_timing = nullptr;
+  ServerEntryPtr m_entry;
+  HttpTicketPtr m_ticket;
+  TimePoint m_sentAt;
+  bool m_running = false;
+};
+using AttemptPtr = std::shared_ptr<Attempt>;
+
+struct DispatcherCounters
+{
+  std::uint64_t first = 0;    ///< first attempts at a service
+  std::uint64_t extra = 0;    ///< hedges and retries
+  std::uint64_t denied = 0;   ///< extra attempts that the budget refused
+  std::uint64_t ends[5] = {}; ///< by AttemptEnd
+};
+
+class Dispatcher
+{
+public:
+  using Done = std::function<void(AttemptResult)>;
+
+  Dispatcher(const ClockI& aClock,
+             std::uint64_t aSeed,
+             const TrafficProtocolI& aProtocol,
+             ServerTable& aServers,
+             const BudgetLimit& aBudget);
+
+  /// A request for the service arrived; it earns budget for extra attempts.
+  void onRequest(const std::string& aService);
+  /// Sends one attempt.
+  /// @param[in] aTried ids of the servers that had the request
+  /// @returns null when no other server is usable or the budget is spent
+  AttemptPtr send(const AttemptOrder& aOrder,
+                  const std::string& aService,
+                  const std::vector<std::string>& aTried,
+                  AttemptKind aKind,
+                  Done aDone);
+  void setHosts(std::size_t aHosts);
+  const DispatcherCounters& counters() const { return m_counters; }
+
+private:
+  ServerEntryPtr choose(const std::string& aService,
+                        const std::vector<std::string>& aTried);
+  AttemptPtr sendTo(const AttemptOrder& aOrder,
+                    const ServerEntryPtr& aEntry,
+                    Done aDone);
+  AttemptResult conclude(const Attempt& aAttempt, ExchangeResult aResult);
+  SharedBudget& budget(const std::string& aService);
+
+  const ClockI& m_clock;
+  std::mt19937_64 m_random;
+  const TrafficProtocolI& m_protocol;
+  ServerTable& m_servers;
+  const BudgetLimit m_limit;
+  std::size_t m_hosts = 1;
+  std::map<std::string, SharedBudget> m_budgets; ///< by service
+  DispatcherCounters m_counters;
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_DISPATCHER_P_H
--- /dev/null
+++ b/src/entry_control.cpp
@@ -0,0 +1,436 @@
+#include "entry_control_p.h"
+
+#include <algorithm>
+
+#include "entry_hosts_p.h"
+#include "log_p.h"
+
+namespace toucanridge {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{ 100 };
+/// Callers keep an answer for this long. A shorter time takes a host that is
+/// gone out of use sooner; each answer costs a connection.
+constexpr milliseconds kAddressValidity{ 2000 };
+constexpr std::size_t kMaxAddresses = 64;
+/// A peer that is ahead is asked this long after it is known: the platform's
+/// own word usually arrives first.
+constexpr milliseconds kFetchDelay{ 250 };
+constexpr milliseconds kFetchTimeout{ 1000 };
+
+/// Hosts that don't answer are left out of the directory after a second; a
+/// caller loses a second on each that is still named.
+MembershipSettings
+membershipSettings()
+{
+  MembershipSettings settings;
+  settings.probeEvery = milliseconds(500);
+  settings.directTimeout = milliseconds(150);
+  settings.probeTimeout = milliseconds(600);
+  return settings;
+}
+
+Host
+selfOf(const EntrySettings& aSettings)
+{
+  Host host;
+  host.name = aSettings.host;
+  host.dataCentre = aSettings.dataCentre;
+  host.address = aSettings.address;
+  host.httpPort = aSettings.callerPort;
+  host.peerPort = aSettings.peerPort;
+  return host;
+}
+
+} // namespace
+
+EntryControl::EntryControl(boost::asio::io_context& aContext,
+                           const ClockI& aClock,
+                           const EntrySettings& aSettings,
+                           std::uint64_t aIncarnation,
+                           Adapter aAdapter,
+                           std::function<void(const TrafficView&)> aOnView)
+  : m_context(aContext)
+  , m_clock(aClock)
+  , m_settings(aSettings)
+  , m_incarnation(aIncarnation)
+  , m_adapter(aAdapter)
+  , m_onView(std::move(aOnView))
+  , m_socket(aContext)
+  , m_broadcaster(aSettings.host, aIncarnation)
+  , m_roster(aClock, aIncarnation, m_socket, selfOf(aSettings))
+  , m_membership(aClock,
+                 aIncarnation + 1,
+                 membershipSettings(),
+                 m_socket,
+                 *this,
+                 *this,
+                 m_broadcaster,
+                 aSettings.dataCentre)
+  , m_links(aContext, Hello{ aSettings.host, aIncarnation })
+  , m_directory(aContext,
+                aClock,
+                [this](const HttpExchangePtr& aExchange) { onHttp(aExchange); })
+  , m_readiness(aContext,
+                aClock,
+                [this](const HttpExchangePtr& aExchange) { onHttp(aExchange); })
+  , m_timer(aContext)
+  , m_keeper(aClock)
+{
+  m_roster.setSeeds(aSettings.seeds);
+  m_membership.setJoining(false);
+}
+
+std::error_code
+EntryControl::init()
+{
+  std::error_code error =
+    m_socket.init(m_settings.address,
+                  m_settings.peerPort,
+                  [this](const PeerAddress& aFrom, std::string_view aBytes) {
+                    if (isIntroduction(aBytes)) {
+                      m_roster.onDatagram(aFrom, aBytes);
+                    } else {
+                      m_membership.onDatagram(aFrom, aBytes);
+                    }
+                  });
+  if (!error) {
+    PeerLinks::Handlers handlers;
+    handlers.onRequest = [this](const std::string&,
+                                MessageType aType,
+                                const std::string& aPayload,
+                                const PeerLinks::Reply& aReply) {
+      if (aType == MessageType::ItemsFetch) {
+        onPeerRequest(aPayload, aReply);
+      }
+    };
+    handlers.onReply = [this](const std::string& aHost,
+                              MessageType aType,
+                              const std::string& aPayload) {
+      const auto changes = aType == MessageType::ItemChanges
+                             ? decode<ItemChanges>(aPayload)
+                             : std::nullopt;
+      if (changes) {
+        takeItems(*changes, aHost.c_str());
+        m_adapter.source.skipTo(m_items.revision());
+      }
+    };
+    handlers.onLost = [this](const std::string& aHost,
+                             const std::vector<std::uint64_t>&) {
+      m_membership.onFailureHint(aHost);
+    };
+    error = m_links.init(
+      m_settings.address, m_settings.peerPort, std::move(handlers));
+  }
+  if (!error) {
+    error = m_directory.init(m_settings.address, m_settings.directoryPort);
+  }
+  if (!error) {
+    error = m_readiness.init(m_settings.address, m_settings.readinessPort);
+  }
+  if (!error) {
+    m_adapter.source.start(*this);
+    tickLater();
+  }
+  return error;
+}
+
+void
+EntryControl::reload(const EntrySettings& aSettings)
+{
+  m_settings.seeds = aSettings.seeds;
+  m_roster.setSeeds(aSettings.seeds);
+  logWrite(LogLevel::Info,
+           LogLine("reload").add("seeds", aSettings.seeds.size()));
+}
+
+void
+EntryControl::leave()
+{
+  m_leaving = true;
+  m_membership.leave();
+}
+
+void
+EntryControl::shutdown()
+{
+  m_timer.cancel();
+  m_adapter.source.stop();
+  m_directory.shutdown();
+  m_readiness.shutdown();
+  m_links.shutdown();
+  m_socket.shutdown();
+}
+
+void
+EntryControl::tickLater()
+{
+  m_roster.tick();
+  if (m_roster.takeChanged()) {
+    m_membership.setHosts(m_roster.list());
+  }
+  m_membership.tick();
+  m_keeper.tick();
+  if (m_keeper.isChanged() || liveHosts() != m_publishedHosts) {
+    publish();
+  }
+  m_timer.expires_after(kTick);
+  m_timer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      tickLater();
+    }
+  });
+}
+
+bool
+EntryControl::isReady() const
+{
+  return !m_leaving && m_routing != nullptr;
+}
+
+void
+EntryControl::onHttp(const HttpExchangePtr& aExchange)
+{
+  const HttpRequest& request = aExchange->request();
+  if (m_adapter.directory.asksForReadiness(request)) {
+    aExchange->reply(isReady() ? makeResponse(200, "ready\n")
+                               : makeResponse(503, "not ready\n"));
+  } else if (m_adapter.directory.asksForAddresses(request)) {
+    aExchange->reply(addresses());
+  } else {
+    aExchange->reply(makeResponse(404, "no such page\n"));
+  }
+}
+
+/// @returns hosts that are believed alive and hold a configuration
+std::vector<Host>
+EntryControl::servingHosts() const
+{
+  std::vector<Host> serving;
+  for (Host& host : m_roster.list().hosts) {
+    const bool self = host.name == m_settings.host;
+    const auto revision = m_peerRevisions.find(host.name);
+    const bool serves = self ? isReady()
+                             : m_membership.isAlive(host.name) &&
+                                 revision != m_peerRevisions.end() &&
+                                 revision->second > 0;
+    if (serves) {
+      serving.push_back(std::move(host));
+    }
+  }
+  return serving;
+}
+
+std::size_t
+EntryControl::liveHosts() const
+{
+  std::size_t live = 1;
+  for (const Host& host : m_roster.list().hosts) {
+    live += host.name != m_settings.host && m_membership.isAlive(host.name);
+  }
+  return live;
+}
+
+HttpResponse
+EntryControl::addresses() const
+{
+  EntryChoice choice;
+  choice.hosts = servingHosts();
+  choice.shardServers = m_shardServers;
+  const std::vector<Host> chosen = chooseEntryHosts(choice, kMaxAddresses);
+  if (chosen.empty()) {
+    return makeResponse(503, "no host is ready\n");
+  }
+  std::vector<std::string> addresses;
+  for (const Host& host : chosen) {
+    addresses.push_back(host.address + ":" + std::to_string(host.httpPort));
+  }
+  return m_adapter.directory.makeAddresses(addresses, kAddressValidity);
+}
+
+void
+EntryControl::onItems(const ItemChanges& aChanges)
+{
+  takeItems(aChanges, "platform");
+}
+
+void
+EntryControl::takeItems(const ItemChanges& aChanges, const char* aSource)
+{
+  const std::uint64_t before = m_items.revision();
+  const std::set<std::string> changed = m_items.apply(aChanges);
+  if (m_items.revision() == before) {
+    return;
+  }
+  for (const std::string& key : changed) {
+    const auto held = m_items.items().find(key);
+    const bool there = held != m_items.items().end();
+    switch (m_adapter.decoder.kindOf(key)) {
+      case ItemKind::Routing:
+        if (there) {
+          takeRouting(held->second);
+        }
+        break;
+      case ItemKind::Server:
+        if (there) {
+          m_keeper.set(key, m_adapter.decoder.decodeServer(held->second));
+        } else {
+          m_keeper.remove(key);
+        }
+        break;
+      case ItemKind::Evacuation:
+        m_keeper.setEvacuated(m_adapter.decoder.evacuated(key), there);
+        break;
+      case ItemKind::Other:
+        break;
+    }
+  }
+  if (changed.empty()) {
+    return;
+  }
+  logWrite(LogLevel::Info,
+           LogLine("items-changed")
+             .add("from", before)
+             .add("to", m_items.revision())
+             .add("keys", changed.size())
+             .add("source", aSource));
+  publish();
+  m_membership.announce();
+}
+
+void
+EntryControl::takeRouting(const PublishedItem& aItem)
+{
+  const auto routing = m_adapter.decoder.decodeRouting(aItem);
+  if (!routing) {
+    return;
+  }
+  if (m_routing && routing->version() < m_routing->version()) {
+    logWrite(LogLevel::Warn,
+             LogLine("routing-ignored")
+               .add("version", routing->version())
+               .add("held", m_routing->version()));
+    return;
+  }
+  m_routing = routing;
+  logWrite(LogLevel::Info,
+           LogLine("routing")
+             .add("version", routing->version())
+             .add("routes", routing->routes().size()));
+}
+
+void
+EntryControl::publish()
+{
+  if (m_keeper.isChanged() || !m_catalogue) {
+    m_catalogue = m_keeper.build(m_items.revision());
+  }
+  m_shardServers.clear();
+  if (m_routing) {
+    std::set<std::string> shards;
+    for (const Route& route : m_routing->routes()) {
+      shards.insert(route.shards.begin(), route.shards.end());
+    }
+    for (const BackendServer& server : m_catalogue->servers) {
+      m_shardServers[server.dataCentre] += shards.count(server.service);
+    }
+  }
+  m_publishedHosts = liveHosts();
+  TrafficView view;
+  view.routing = m_routing;
+  view.catalogue = m_catalogue;
+  view.hosts = m_publishedHosts;
+  m_onView(view);
+}
+
+PeerState
+EntryControl::state() const
+{
+  PeerState state;
+  state.host = m_settings.host;
+  state.incarnation = m_incarnation;
+  return state;
+}
+
+ConfigDigest
+EntryControl::digest() const
+{
+  ConfigDigest digest;
+  digest.rules = m_routing ? m_items.revision() : 0;
+  return digest;
+}
+
+std::uint32_t
+EntryControl::load() const
+{
+  return 0;
+}
+
+void
+EntryControl::onDigest(const std::string& aHost,
+                       const PeerAddress& aAddress,
+                       const ConfigDigest& aDigest)
+{
+  m_peerRevisions[aHost] = aDigest.rules;
+  m_roster.onHeard(aHost);
+  if (aDigest.rules > m_items.revision()) {
+    fetchFrom(aHost, aAddress);
+  }
+}
+
+void
+EntryControl::fetchFrom(const std::string& aHost, const PeerAddress& aAddress)
+{
+  const TimePoint now = m_clock.now();
+  const bool starting = m_items.revision() == 0;
+  if (m_fetchAt == TimePoint() && !starting) {
+    m_fetchAt = now + kFetchDelay;
+    return;
+  }
+  if (now < m_fetchAt) {
+    return;
+  }
+  if (!starting && now - m_fetchAt > kFetchTimeout) {
+    // The mark is from an earlier change.
+    m_fetchAt = now + kFetchDelay;
+    return;
+  }
+  m_fetchAt = now + kFetchTimeout;
+  ItemsFetch fetch;
+  fetch.have = m_items.revision();
+  logWrite(LogLevel::Info,
+           LogLine("items-fetch").add("peer", aHost).add("have", fetch.have));
+  m_links.send(aHost,
+               aAddress.address,
+               aAddress.port,
+               MessageType::ItemsFetch,
+               encode(fetch),
+               0);
+}
+
+void
+EntryControl::onPeerRequest(const std::string& aPayload,
+                            const PeerLinks::Reply& aReply)
+{
+  const auto fetch = decode<ItemsFetch>(aPayload);
+  if (!fetch || !m_routing) {
+    return;
+  }
+  std::string payload = encode(m_items.changesAfter(fetch->have));
+  if (payload.size() <= kMaxFrameBytes) {
+    aReply(MessageType::ItemChanges, std::move(payload));
+  } else {
+    logWrite(LogLevel::Error,
+             LogLine("items-too-large").add("bytes", payload.size()));
+  }
+}
+
+void
+EntryControl::onProbeAcked(const PeerState& aPeer, TimePoint /*aSentAt*/)
+{
+  m_roster.onHeard(aPeer.host);
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/entry_control_p.h
@@ -0,0 +1,117 @@
+#ifndef TOUCANRIDGE_ENTRY_CONTROL_P_H
+#define TOUCANRIDGE_ENTRY_CONTROL_P_H
+
+/// The control thread's part of a host that serves published routes: knows the
+/// other hosts, keeps the published items, tells callers where to connect.
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "broadcaster_p.h"
+#include "catalogue_keeper_p.h"
+#include "entry_settings_p.h"
+#include "gossip_socket_p.h"
+#include "http_server_p.h"
+#include "membership_p.h"
+#include "peer_link_p.h"
+#include "published_items_p.h"
+#include "published_source_p.h"
+#include "roster_p.h"
+#include "traffic_p.h"
+
+namespace toucanridge {
+
+class EntryControl final
+  : public GossipLocalI
+  , public PeerEvidenceI
+  , public PublishedListenerI
+{
+public:
+  /// The adapter of the platform.
+  struct Adapter
+  {
+    PublishedSourceI& source;
+    const PublishedDecoderI& decoder;
+    const DirectoryProtocolI& directory;
+  };
+
+  /// @param[in] aOnView takes each new view, on the control thread
+  EntryControl(boost::asio::io_context& aContext,
+               const ClockI& aClock,
+               const EntrySettings& aSettings,
+               std::uint64_t aIncarnation,
+               Adapter aAdapter,
+               std::function<void(const TrafficView&)> aOnView);
+
+  /// Binds the sockets and starts.
+  /// @returns an error when an address can't be bound
+  std::error_code init();
+  /// Takes changed settings; only the seeds may differ.
+  void reload(const EntrySettings& aSettings);
+  /// Tells peers and callers that this host leaves.
+  void leave();
+  void shutdown();
+
+  // GossipLocalI
+  PeerState state() const override;
+  ConfigDigest digest() const override;
+  std::uint32_t load() const override;
+  void onDigest(const std::string& aHost,
+                const PeerAddress& aAddress,
+                const ConfigDigest& aDigest) override;
+  // PeerEvidenceI
+  void onProbeAcked(const PeerState& aPeer, TimePoint aSentAt) override;
+  // PublishedListenerI
+  void onItems(const ItemChanges& aChanges) override;
+
+private:
+  void tickLater();
+  void onHttp(const HttpExchangePtr& aExchange);
+  bool isReady() const;
+  void takeItems(const ItemChanges& aChanges, const char* aSource);
+  void takeRouting(const PublishedItem& aItem);
+  void publish();
+  std::vector<Host> servingHosts() const;
+  std::size_t liveHosts() const;
+  HttpResponse addresses() const;
+  void fetchFrom(const std::string& aHost, const PeerAddress& aAddress);
+  void onPeerRequest(const std::string& aPayload,
+                     const PeerLinks::Reply& aReply);
+
+  boost::asio::io_context& m_context;
+  const ClockI& m_clock;
+  EntrySettings m_settings;
+  const std::uint64_t m_incarnation;
+  Adapter m_adapter;
+  std::function<void(const TrafficView&)> m_onView;
+  GossipSocket m_socket;
+  Broadcaster m_broadcaster;
+  Roster m_roster;
+  Membership m_membership;
+  PeerLinks m_links;
+  HttpServer m_directory;
+  HttpServer m_readiness;
+  boost::asio::steady_timer m_timer;
+
+  PublishedItems m_items;
+  CatalogueKeeper m_keeper;
+  std::shared_ptr<const RoutingTable> m_routing;
+  std::shared_ptr<const ServerCatalogue> m_catalogue;
+  std::size_t m_publishedHosts = 0;
+  std::map<std::string, std::size_t> m_shardServers; ///< by data centre
+  std::map<std::string, std::uint64_t> m_peerRevisions;
+  TimePoint m_fetchAt; ///< no fetch before
+  bool m_leaving = false;
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_ENTRY_CONTROL_P_H
--- /dev/null
+++ b/src/entry_node.cpp
@@ -0,0 +1,141 @@
+#include "entry_node_p.h"
+
+#include <future>
+
+#include <boost/asio/post.hpp>
+
+#include "log_p.h"
+
+namespace toucanridge {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// From the word that this host leaves until idle connections are closed:
+/// callers keep addresses for 2 s, and word reaches the other hosts first.
+constexpr milliseconds kLeaveTime{ 2600 };
+/// Time kept free at the end of the grace, as timers fire late on a busy core.
+constexpr milliseconds kGraceMargin{ 700 };
+constexpr milliseconds kPoll{ 50 };
+
+TrafficSettings
+trafficSettings(const EntrySettings& aSettings, std::uint64_t aSeed)
+{
+  TrafficSettings settings;
+  settings.address = aSettings.address;
+  settings.port = aSettings.callerPort;
+  settings.dataCentre = aSettings.dataCentre;
+  settings.budget = aSettings.budget;
+  settings.seed = aSeed;
+  return settings;
+}
+
+std::uint64_t
+newIncarnation()
+{
+  return static_cast<std::uint64_t>(unixTime().count());
+}
+
+} // namespace
+
+EntryNode::EntryNode(const ClockI& aClock,
+                     const EntrySettings& aSettings,
+                     const Adapter& aAdapter)
+  : m_clock(aClock)
+  , m_settings(aSettings)
+  , m_source(aAdapter.makeSource(m_controlContext))
+  , m_traffic(m_trafficContext,
+              aClock,
+              aAdapter.traffic,
+              trafficSettings(aSettings, newIncarnation()))
+  , m_control(m_controlContext,
+              aClock,
+              aSettings,
+              newIncarnation(),
+              { *m_source, aAdapter.decoder, aAdapter.directory },
+              [this](const TrafficView& aView) {
+                boost::asio::post(m_trafficContext,
+                                  [this, aView] { m_traffic.setView(aView); });
+              })
+  , m_trafficWork(m_trafficContext.get_executor())
+{
+}
+
+EntryNode::~EntryNode() = default;
+
+std::error_code
+EntryNode::init()
+{
+  std::error_code error = m_traffic.init();
+  if (!error) {
+    error = m_control.init();
+  }
+  if (error) {
+    return error;
+  }
+  m_controlThread = std::thread([this] { m_controlContext.run(); });
+  m_trafficThread = std::thread([this] { m_trafficContext.run(); });
+  logWrite(LogLevel::Info,
+           LogLine("start")
+             .add("host", m_settings.host)
+             .add("data_centre", m_settings.dataCentre)
+             .add("address", m_settings.address)
+             .add("caller_port", m_settings.callerPort)
+             .add("peer_port", m_settings.peerPort)
+             .add("seeds", m_settings.seeds.size()));
+  return {};
+}
+
+void
+EntryNode::reload(const EntrySettings& aSettings)
+{
+  boost::asio::post(m_controlContext,
+                    [this, aSettings] { m_control.reload(aSettings); });
+}
+
+std::size_t
+EntryNode::runningRequests()
+{
+  std::promise<std::size_t> running;
+  boost::asio::post(m_trafficContext,
+                    [&] { running.set_value(m_traffic.server().running()); });
+  return running.get_future().get();
+}
+
+void
+EntryNode::waitForRequests(TimePoint aUntil)
+{
+  while (m_clock.now() < aUntil && runningRequests() > 0) {
+    std::this_thread::sleep_for(kPoll);
+  }
+}
+
+void
+EntryNode::shutdown()
+{
+  const TimePoint begun = m_clock.now();
+  const TimePoint end = begun + m_settings.grace - kGraceMargin;
+  logWrite(LogLevel::Info, LogLine("stop").add("phase", "leaving"));
+  boost::asio::post(m_controlContext, [this] { m_control.leave(); });
+  boost::asio::post(m_trafficContext, [this] { m_traffic.server().drain(); });
+  std::this_thread::sleep_for(std::min<Duration>(kLeaveTime, end - begun));
+  boost::asio::post(m_trafficContext,
+                    [this] { m_traffic.server().closeIdle(); });
+  waitForRequests(end);
+  boost::asio::post(m_trafficContext, [this] {
+    m_traffic.server().stopAccepting();
+    m_traffic.server().closeIdle();
+  });
+  waitForRequests(end);
+  logWrite(
+    LogLevel::Info,
+    LogLine("stop").add("phase", "ended").add("running", runningRequests()));
+  m_controlContext.stop();
+  m_trafficContext.stop();
+  m_controlThread.join();
+  m_trafficThread.join();
+  m_control.shutdown();
+  m_traffic.server().shutdown();
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/http_message_p.h
@@ -0,0 +1,52 @@
+#ifndef TOUCANRIDGE_HTTP_MESSAGE_P_H
+#define TOUCANRIDGE_HTTP_MESSAGE_P_H
+
+/// HTTP/1.1 messages and the rules for passing them on.
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace toucanridge {
+
+using HttpRequest =
+  boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse =
+  boost::beast::http::response<boost::beast::http::string_body>;
+using HttpFields = boost::beast::http::fields;
+
+/// @returns true for a header that concerns one connection only and must not
+///          be passed on; headers named by `Connection` count as well
+bool
+isHopByHop(std::string_view aName, std::string_view aConnection);
+
+/// @returns the part of a request target before the query
+std::string_view
+pathOf(std::string_view aTarget);
+
+/// @returns a header's value, empty when it is absent
+std::string_view
+headerValue(const HttpFields& aFields, std::string_view aName);
+
+/// Appends "Name: value\r\n".
+void
+appendHeader(std::string& aHead,
+             std::string_view aName,
+             std::string_view aValue);
+
+/// @returns an answer of this system with a plain text body
+HttpResponse
+makeResponse(unsigned aStatus, std::string aBody);
+
+/// @returns status line and headers, with Content-Length and, when the
+///          connection ends after it, `Connection: close`
+std::string
+serializeHead(const HttpResponse& aResponse, bool aClose);
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_HTTP_MESSAGE_P_H
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,423 @@
+#include "http_server_p.h"
+
+#include <array>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "log_p.h"
+
+namespace toucanridge {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kReadBytes = 4096;
+/// What a caller may send ahead of the answer to its request.
+constexpr std::size_t kPipelinedBytes = 64 * 1024;
+/// Header limits differ by at most this from the moment they are enforced.
+constexpr milliseconds kSweepEvery{ 250 };
+constexpr milliseconds kAcceptRetry{ 50 };
+
+/// @returns the status for a request that can't be read
+unsigned
+statusFor(const boost::system::error_code& aError)
+{
+  if (aError == http::error::header_limit) {
+    return 431;
+  }
+  return aError == http::error::body_limit ? 413 : 400;
+}
+
+/// A transfer coding other than plain chunks leaves the length of the body
+/// unclear, and with it where the next request begins.
+bool
+hasUnclearLength(const HttpRequest& aRequest)
+{
+  const std::string_view coding =
+    headerValue(aRequest.base(), "Transfer-Encoding");
+  return !coding.empty() &&
+         !boost::beast::iequals(
+           boost::beast::string_view(coding.data(), coding.size()), "chunked");
+}
+
+} // namespace
+
+class HttpSession final
+  : public HttpExchange
+  , public std::enable_shared_from_this<HttpSession>
+{
+public:
+  using Socket = asio::ip::tcp::socket;
+
+  HttpSession(HttpServer& aServer, Socket aSocket)
+    : m_server(aServer)
+    , m_socket(std::move(aSocket))
+    , m_since(aServer.m_clock.now())
+  {
+  }
+
+  void start()
+  {
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    beginRequest();
+    read();
+  }
+
+  const HttpRequest& request() const override { return m_request; }
+  TimePoint receivedAt() const override { return m_receivedAt; }
+  bool isFirst() const override { return m_count == 1; }
+  void onAbandoned(std::function<void()> aCall) override
+  {
+    m_onAbandoned = std::move(aCall);
+  }
+
+  void reply(HttpResponse aResponse) override
+  {
+    if (m_state != State::Running) {
+      return;
+    }
+    m_onAbandoned = nullptr;
+    --m_server.m_running;
+    m_state = State::Writing;
+    m_since = m_server.m_clock.now();
+    const bool close = m_close || m_server.m_draining;
+    m_close = close;
+    m_head = serializeHead(aResponse, close);
+    m_body = std::move(aResponse.body());
+    const bool isHead = m_request.method() == http::verb::head;
+    const std::array<asio::const_buffer, 2> buffers{
+      asio::buffer(m_head), isHead ? asio::const_buffer() : asio::buffer(m_body)
+    };
+    asio::async_write(
+      m_socket,
+      buffers,
+      [self = shared_from_this()](const boost::system::error_code& aError,
+                                  std::size_t) { self->onWritten(aError); });
+  }
+
+  /// Ends the connection when a limit of time is reached.
+  void sweep(TimePoint aNow)
+  {
+    const HttpLimits& limits = m_server.m_limits;
+    const Duration age = aNow - m_since;
+    const bool over = m_state == State::Idle      ? age > limits.idleTime
+                      : m_state == State::Reading ? age > limits.requestTime
+                      : m_state == State::Writing ? age > limits.writeTime
+                                                  : false;
+    if (over) {
+      end();
+    }
+  }
+
+  void closeIfIdle()
+  {
+    if (m_state == State::Idle) {
+      end();
+    }
+  }
+
+  void end()
+  {
+    if (m_state == State::Ended) {
+      return;
+    }
+    const bool running = m_state == State::Running;
+    m_state = State::Ended;
+    if (running) {
+      --m_server.m_running;
+    }
+    boost::system::error_code ignored;
+    m_socket.shutdown(Socket::shutdown_send, ignored);
+    m_socket.close(ignored);
+    m_server.m_sessions.erase(shared_from_this());
+    if (running && m_onAbandoned) {
+      const auto abandoned = std::move(m_onAbandoned);
+      m_onAbandoned = nullptr;
+      abandoned();
+    }
+  }
+
+private:
+  using Parser = http::request_parser<http::string_body>;
+
+  enum class State
+  {
+    Idle,    ///< waits for the first byte of a request
+    Reading, ///< has part of a request
+    Running, ///< the handler has the request
+    Writing,
+    Ended,
+  };
+
+  void beginRequest()
+  {
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(
+      static_cast<std::uint32_t>(m_server.m_limits.headerBytes));
+    m_parser->body_limit(m_server.m_limits.bodyBytes);
+    m_state = State::Idle;
+    m_since = m_server.m_clock.now();
+  }
+
+  /// Reads on while a request runs as well, to notice that the caller leaves.
+  void read()
+  {
+    if (m_reading || m_state == State::Ended ||
+        m_buffer.size() >= kPipelinedBytes) {
+      return;
+    }
+    m_reading = true;
+    m_socket.async_read_some(
+      m_buffer.prepare(kReadBytes),
+      [self = shared_from_this()](const boost::system::error_code& aError,
+                                  std::size_t aBytes) {
+        self->m_reading = false;
+        self->onRead(aError, aBytes);
+      });
+  }
+
+  void onRead(const boost::system::error_code& aError, std::size_t aBytes)
+  {
+    if (m_state == State::Ended) {
+      return;
+    }
+    if (aError) {
+      if (m_state == State::Writing) {
+        m_close = true; // the answer may still arrive
+      } else {
+        end();
+      }
+      return;
+    }
+    m_buffer.commit(aBytes);
+    if (m_state == State::Idle || m_state == State::Reading) {
+      parse();
+    }
+    read();
+  }
+
+  void parse()
+  {
+    if (m_state == State::Idle && m_buffer.size() > 0) {
+      m_state = State::Reading;
+      m_since = m_server.m_clock.now();
+    }
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+      boost::system::error_code error;
+      const std::size_t used = m_parser->put(m_buffer.data(), error);
+      m_buffer.consume(used);
+      if (error == http::error::need_more) {
+        break;
+      }
+      if (error) {
+        refuse(error);
+        return;
+      }
+    }
+    if (!m_parser->is_done()) {
+      confirmExpectation();
+      return;
+    }
+    m_request = m_parser->release();
+    if (hasUnclearLength(m_request)) {
+      refuse(http::error::bad_transfer_encoding);
+      return;
+    }
+    m_close = !m_request.keep_alive();
+    m_receivedAt = m_server.m_clock.now();
+    m_state = State::Running;
+    m_confirmed = false;
+    ++m_count;
+    ++m_server.m_running;
+    m_server.m_handler(shared_from_this());
+  }
+
+  /// A caller that expects it gets 100 before it sends the body.
+  void confirmExpectation()
+  {
+    if (m_confirmed || !m_parser->is_header_done() ||
+        headerValue(m_parser->get().base(), "Expect").empty()) {
+      return;
+    }
+    m_confirmed = true;
+    static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(m_socket,
+                      asio::buffer(kContinue, sizeof(kContinue) - 1),
+                      [self = shared_from_this()](
+                        const boost::system::error_code&, std::size_t) {});
+  }
+
+  /// Answers a request that can't be read and ends the connection.
+  void refuse(const boost::system::error_code& aError)
+  {
+    ++m_server.m_malformed;
+    logWrite(LogLevel::Warn,
+             LogLine("request-malformed").addText("reason", aError.message()));
+    m_request = {};
+    m_state = State::Running;
+    ++m_server.m_running;
+    m_close = true;
+    reply(makeResponse(statusFor(aError), "malformed request\n"));
+  }
+
+  void onWritten(const boost::system::error_code& aError)
+  {
+    if (m_state == State::Ended) {
+      return;
+    }
+    if (aError || m_close) {
+      end();
+      return;
+    }
+    m_body.clear();
+    beginRequest();
+    parse();
+    read();
+  }
+
+  HttpServer& m_server;
+  Socket m_socket;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<Parser> m_parser;
+  HttpRequest m_request;
+  State m_state = State::Idle;
+  TimePoint m_since; ///< when the state began
+  TimePoint m_receivedAt;
+  std::uint64_t m_count = 0;
+  bool m_reading = false;
+  bool m_close = false;
+  bool m_confirmed = false; ///< 100 was sent
+  std::function<void()> m_onAbandoned;
+  std::string m_head;
+  std::string m_body;
+};
+
+HttpServer::HttpServer(asio::io_context& aContext,
+                       const ClockI& aClock,
+                       Handler aHandler)
+  : m_context(aContext)
+  , m_clock(aClock)
+  , m_handler(std::move(aHandler))
+  , m_acceptor(aContext)
+  , m_sweep(aContext)
+  , m_retry(aContext)
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+std::error_code
+HttpServer::init(const std::string& aAddress, std::uint16_t aPort)
+{
+  boost::system::error_code error;
+  const asio::ip::tcp::endpoint endpoint(
+    asio::ip::make_address(aAddress, error), aPort);
+  if (!error) {
+    m_acceptor.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    m_acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return error;
+  }
+  accept();
+  sweepLater();
+  return {};
+}
+
+void
+HttpServer::accept()
+{
+  m_acceptor.async_accept([this](const boost::system::error_code& aError,
+                                 asio::ip::tcp::socket aSocket) {
+    if (m_stopped) {
+      return;
+    }
+    if (aError) {
+      logWrite(LogLevel::Error,
+               LogLine("accept-failed").addText("reason", aError.message()));
+      m_retry.expires_after(kAcceptRetry);
+      m_retry.async_wait([this](const boost::system::error_code& aStopped) {
+        if (!aStopped) {
+          accept();
+        }
+      });
+      return;
+    }
+    if (m_sessions.size() < m_limits.connections) {
+      auto session = std::make_shared<HttpSession>(*this, std::move(aSocket));
+      m_sessions.insert(session);
+      session->start();
+    } else {
+      logWrite(LogLevel::Warn,
+               LogLine("connection-refused").add("open", m_sessions.size()));
+    }
+    accept();
+  });
+}
+
+void
+HttpServer::sweepLater()
+{
+  m_sweep.expires_after(kSweepEvery);
+  m_sweep.async_wait([this](const boost::system::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    const TimePoint now = m_clock.now();
+    const std::vector<std::shared_ptr<HttpSession>> sessions(m_sessions.begin(),
+                                                             m_sessions.end());
+    for (const auto& session : sessions) {
+      session->sweep(now);
+    }
+    sweepLater();
+  });
+}
+
+void
+HttpServer::closeIdle()
+{
+  const std::vector<std::shared_ptr<HttpSession>> sessions(m_sessions.begin(),
+                                                           m_sessions.end());
+  for (const auto& session : sessions) {
+    session->closeIfIdle();
+  }
+}
+
+void
+HttpServer::stopAccepting()
+{
+  m_stopped = true;
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+  m_retry.cancel();
+}
+
+void
+HttpServer::shutdown()
+{
+  stopAccepting();
+  m_sweep.cancel();
+  const std::vector<std::shared_ptr<HttpSession>> sessions(m_sessions.begin(),
+                                                           m_sessions.end());
+  for (const auto& session : sessions) {
+    session->end();
+  }
+}
+
+} // namespace toucanridge
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -51,8 +51,9 @@
     , m_logger(log4cplus::Logger::getInstance("toucanridge"))
   {
     log4cplus::SharedAppenderPtr appender;
-    if (aFile.empty()) {
-      appender = new log4cplus::ConsoleAppender(true, false);
+    if (aFile.empty() || aFile == kLogToOutput) {
+      const bool toErrors = aFile.empty();
+      appender = new log4cplus::ConsoleAppender(toErrors, false);
     } else {
       appender = new log4cplus::FileAppender(aFile, std::ios_base::app, true);
     }
--- a/src/log_p.h
+++ b/src/log_p.h
@@ -37,8 +37,12 @@
   std::ostringstream m_out;
 };
 
+/// File name that stands for standard output.
+constexpr const char* kLogToOutput = "-";
+
 /// Starts the log's writer thread.
-/// @param[in] aFile path of the log file; empty for standard error
+/// @param[in] aFile path of the log file; empty for standard error,
+///            kLogToOutput for standard output
 /// @param[in] aLevel lines below this level are not written
 void
 logInit(const std::string& aFile, LogLevel aLevel);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <iostream>
 
 #include "commands_p.h"
+#include "platform_command.h"
 #include "toucanridge/toucanridge.h"
 
 namespace {
@@ -15,6 +16,9 @@
 
 constexpr Command kCommands[] = {
   { "node", "run an entry host", toucanridge::commandNode },
+  { "platform",
+    "run an entry host on the platform",
+    toucanridge::platform::commandPlatform },
   { "rules", "check, show or explain rules", toucanridge::commandRules },
   { "query", "send a query as a caller", toucanridge::commandQuery },
   { "status", "print a node's view", toucanridge::commandStatus },
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -15,7 +15,7 @@
 
 /// Suspicions run for seconds; a finer check would only cost time.
 constexpr milliseconds kSuspectCheckEvery{ 250 };
-constexpr std::size_t kLeaveFanOut = 8;
+constexpr std::size_t kAnnounceFanOut = 8;
 /// Suspects that are probed once more in a second. When a partition makes
 /// hundreds of suspects at once, the limit keeps the traffic constant.
 constexpr std::uint32_t kMaxConfirmsASecond = 4;
@@ -186,6 +186,12 @@
   m_leaving = true;
   m_changed = true;
   enqueue(selfUpdate());
+  announce();
+}
+
+void
+Membership::announce()
+{
   std::vector<const Member*> targets;
   for (const auto& entry : m_members) {
     if (entry.second.state == MemberState::Alive) {
@@ -193,7 +199,7 @@
     }
   }
   std::shuffle(targets.begin(), targets.end(), m_random);
-  targets.resize(std::min(targets.size(), kLeaveFanOut));
+  targets.resize(std::min(targets.size(), kAnnounceFanOut));
   for (const Member* member : targets) {
     startProbe(*member, false);
   }
@@ -250,10 +256,12 @@
   if (aUpdate.incarnation > m_incarnation) {
     // The machine's clock went back between two starts: peers hold the state
     // of the earlier process for newer than this one's.
-    logWrite(LogLevel::Error,
+    logWrite(LogLevel::Warn,
              LogLine("incarnation-behind")
                .add("own", m_incarnation)
                .add("heard", aUpdate.incarnation));
+    m_incarnation = aUpdate.incarnation + 1;
+    enqueue(selfUpdate());
     return;
   }
   if (aUpdate.state == MemberState::Alive ||
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -115,6 +115,8 @@
   void onFailureHint(const std::string& aHost);
   /// Announces that this host leaves.
   void leave();
+  /// Probes some members at once, to spread what this host has just learnt.
+  void announce();
 
   bool isAlive(const std::string& aHost) const;
   /// @returns the state of a listed host; Dead for any other
@@ -211,7 +213,7 @@
   Broadcaster& m_broadcaster;
   const std::string m_self;
   const std::string m_dataCentre;
-  const std::uint64_t m_incarnation;
+  std::uint64_t m_incarnation;
 
   std::map<std::string, Member> m_members;
   std::set<std::string> m_suspects;
--- /dev/null
+++ b/src/published_source_p.h
@@ -0,0 +1,87 @@
+#ifndef TOUCANRIDGE_PUBLISHED_SOURCE_P_H
+#define TOUCANRIDGE_PUBLISHED_SOURCE_P_H
+
+/// Interfaces to the platform's published items and to what callers ask beside
+/// queries. Implemented by the adapter of a platform.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "clock_p.h"
+#include "http_message_p.h"
+#include "published_items_p.h"
+#include "routing_p.h"
+
+namespace toucanridge {
+
+/// Takes what a source reads, on the control thread.
+class PublishedListenerI
+{
+public:
+  virtual ~PublishedListenerI() = default;
+  virtual void onItems(const ItemChanges& aChanges) = 0;
+};
+
+/// Reads the platform's items and goes on reading changes.
+class PublishedSourceI
+{
+public:
+  virtual ~PublishedSourceI() = default;
+  virtual void start(PublishedListenerI& aListener) = 0;
+  virtual void stop() = 0;
+  /// Whether this host reads the platform itself; others follow their peers.
+  virtual void setReading(bool aReading) = 0;
+  /// A peer's copy brought this host to a revision.
+  virtual void skipTo(std::uint64_t aRevision) = 0;
+  /// @returns time since the platform last answered
+  virtual Duration silence() const = 0;
+  /// @returns calls made since the start
+  virtual std::uint64_t calls() const = 0;
+};
+
+/// What an item means.
+enum class ItemKind : std::uint8_t
+{
+  Routing,    ///< all routes and services
+  Server,     ///< one backend server
+  Evacuation, ///< a data centre that gets nothing new while it is there
+  Other,
+};
+
+/// Decodes published items.
+class PublishedDecoderI
+{
+public:
+  virtual ~PublishedDecoderI() = default;
+  virtual ItemKind kindOf(const std::string& aKey) const = 0;
+  /// @returns null when the value can't be read; the reason is logged
+  virtual std::shared_ptr<const RoutingTable> decodeRouting(
+    const PublishedItem& aItem) const = 0;
+  /// @returns nothing when the entry names no server to use
+  virtual std::optional<BackendServer> decodeServer(
+    const PublishedItem& aItem) const = 0;
+  /// @returns the data centre that an Evacuation item is about
+  virtual std::string evacuated(const std::string& aKey) const = 0;
+};
+
+/// Answers where callers should connect.
+class DirectoryProtocolI
+{
+public:
+  virtual ~DirectoryProtocolI() = default;
+  /// @returns true when the request asks for addresses
+  virtual bool asksForAddresses(const HttpRequest& aRequest) const = 0;
+  /// @returns true when the request asks whether this host is ready
+  virtual bool asksForReadiness(const HttpRequest& aRequest) const = 0;
+  /// @param[in] aAddresses "address:port"
+  virtual HttpResponse makeAddresses(
+    const std::vector<std::string>& aAddresses,
+    std::chrono::milliseconds aValidFor) const = 0;
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_PUBLISHED_SOURCE_P_H
--- /dev/null
+++ b/src/query_context_p.h
@@ -0,0 +1,59 @@
+#ifndef TOUCANRIDGE_QUERY_CONTEXT_P_H
+#define TOUCANRIDGE_QUERY_CONTEXT_P_H
+
+/// What every kind of query on a route needs.
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "answer_timing_p.h"
+#include "dispatcher_p.h"
+#include "http_server_p.h"
+#include "routing_p.h"
+#include "traffic_protocol_p.h"
+
+namespace toucanridge {
+
+/// The long-lived objects that queries use.
+struct QueryServices
+{
+  boost::asio::io_context& context;
+  const ClockI& clock;
+  const TrafficProtocolI& protocol;
+  Dispatcher& dispatcher;
+};
+
+/// One caller's request and the configuration that governs it to its end.
+struct QueryContext
+{
+  HttpExchangePtr exchange;
+  CallerTerms terms;
+  std::shared_ptr<const RoutingTable> routing;
+  const Route* route = nullptr; ///< owned by routing
+  std::shared_ptr<RouteTiming> timing;
+  QuerySchedule schedule;
+  TimePoint deadline; ///< the caller's
+
+  AttemptOrder order() const
+  {
+    return { exchange->request(), terms, *route, *timing, deadline };
+  }
+};
+
+/// Writes the line that explains a request's answer.
+void
+logAnswer(const QueryContext& aQuery,
+          TimePoint aNow,
+          unsigned aStatus,
+          const char* aReason,
+          const std::string& aDetails);
+
+/// Time after which a refused caller should come back: long enough for a short
+/// overload to pass, short enough to leave it time for the second try.
+constexpr std::chrono::milliseconds kRetryAfter{ 200 };
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_QUERY_CONTEXT_P_H
--- /dev/null
+++ b/src/server_table.cpp
@@ -0,0 +1,126 @@
+#include "server_table_p.h"
+
+#include <algorithm>
+
+#include "log_p.h"
+
+namespace toucanridge {
+namespace {
+
+/// Part of a server's connections that the hosts share; the rest is for hosts
+/// that have just joined and don't know all others yet.
+constexpr double kSharedConnections = 0.9;
+/// One for a request and one for a hedge.
+constexpr std::size_t kMinConnections = 2;
+
+bool
+isSameStart(const BackendServer& aOne, const BackendServer& aOther)
+{
+  return aOne.startedMs == aOther.startedMs && aOne.address == aOther.address &&
+         aOne.port == aOther.port && aOne.service == aOther.service;
+}
+
+} // namespace
+
+ServerTable::ServerTable(boost::asio::io_context& aContext,
+                         const ClockI& aClock,
+                         std::string aDataCentre)
+  : m_context(aContext)
+  , m_clock(aClock)
+  , m_dataCentre(std::move(aDataCentre))
+{
+}
+
+std::size_t
+ServerTable::connectionShare(const RoutingTable& aRouting,
+                             const std::string& aService) const
+{
+  const ServiceContract* contract = aRouting.service(aService);
+  const double most = contract != nullptr ? contract->maxConnections
+                                          : ServiceContract().maxConnections;
+  return std::max(kMinConnections,
+                  static_cast<std::size_t>(most * kSharedConnections /
+                                           static_cast<double>(m_hosts)));
+}
+
+void
+ServerTable::update(const ServerCatalogue& aCatalogue,
+                    const RoutingTable& aRouting)
+{
+  const TimePoint now = m_clock.now();
+  std::map<std::string, ServerEntryPtr> servers;
+  m_usable.clear();
+  for (const BackendServer& published : aCatalogue.servers) {
+    ServerEntryPtr& entry = servers[published.id];
+    const auto known = m_servers.find(published.id);
+    if (known != m_servers.end() &&
+        isSameStart(known->second->server, published)) {
+      entry = known->second;
+      if (published.coldLeft != entry->server.coldLeft) {
+        entry->cold.setCold(now, published.coldLeft);
+      }
+      entry->server = published;
+    } else {
+      entry = std::make_shared<ServerEntry>();
+      entry->server = published;
+      entry->cold.setCold(now, published.coldLeft);
+      boost::system::error_code error;
+      const auto address =
+        boost::asio::ip::make_address_v4(published.address, error);
+      if (error) {
+        logWrite(LogLevel::Warn,
+                 LogLine("server-ignored")
+                   .add("server", published.id)
+                   .addText("reason", "address is not IPv4"));
+        servers.erase(published.id);
+        continue;
+      }
+      entry->pool = std::make_shared<HttpPool>(
+        m_context,
+        m_clock,
+        boost::asio::ip::tcp::endpoint(address, published.port),
+        HttpClientSettings());
+    }
+    const ServiceContract* contract = aRouting.service(published.service);
+    entry->pool->setConnections(connectionShare(aRouting, published.service));
+    entry->cold.setRate(contract != nullptr ? contract->coldPerSecond : 0.0,
+                        m_hosts);
+    if (!published.draining &&
+        aCatalogue.evacuated.count(published.dataCentre) == 0) {
+      m_usable[published.service].push_back(entry);
+    }
+  }
+  for (const auto& [id, entry] : m_servers) {
+    const auto kept = servers.find(id);
+    if (kept == servers.end() || kept->second != entry) {
+      m_openedBefore += entry->pool->opened();
+      entry->pool->retire();
+    }
+  }
+  m_servers = std::move(servers);
+}
+
+void
+ServerTable::setHosts(std::size_t aHosts)
+{
+  m_hosts = std::max<std::size_t>(1, aHosts);
+}
+
+const std::vector<ServerEntryPtr>&
+ServerTable::usable(const std::string& aService) const
+{
+  const auto found = m_usable.find(aService);
+  return found == m_usable.end() ? m_none : found->second;
+}
+
+std::uint64_t
+ServerTable::connectionsOpened() const
+{
+  std::uint64_t opened = m_openedBefore;
+  for (const auto& entry : m_servers) {
+    opened += entry.second->pool->opened();
+  }
+  return opened;
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/single_query.cpp
@@ -0,0 +1,180 @@
+#include "single_query_p.h"
+
+#include <algorithm>
+
+namespace toucanridge {
+namespace {
+
+/// Sends of one request, those that no server ran included.
+constexpr std::uint32_t kMaxSends = 4;
+
+} // namespace
+
+SingleQuery::SingleQuery(const QueryServices& aServices,
+                         QueryContext aQuery,
+                         std::string aService)
+  : m_services(aServices)
+  , m_query(std::move(aQuery))
+  , m_service(std::move(aService))
+  , m_timer(aServices.context)
+{
+}
+
+void
+SingleQuery::start()
+{
+  m_query.exchange->onAbandoned([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->m_ended) {
+      self->m_ended = true;
+      self->cancelAll();
+      logAnswer(
+        self->m_query, self->m_services.clock.now(), 0, "caller left", "");
+    }
+  });
+  m_services.dispatcher.onRequest(m_service);
+  if (!send()) {
+    finish(m_services.protocol.makeRefusal(kRetryAfter, "no usable server"),
+           "no usable server");
+    return;
+  }
+  wakeLater();
+}
+
+/// A request that isn't idempotent goes out once more only when no server has
+/// run it.
+bool
+SingleQuery::maySend() const
+{
+  const std::uint32_t mayRun =
+    m_query.route->idempotent ? m_query.route->maxAttempts : 1;
+  return m_sends < kMaxSends && m_ran < mayRun;
+}
+
+/// @returns false when nothing was sent
+bool
+SingleQuery::send()
+{
+  if (!maySend()) {
+    return false;
+  }
+  AttemptPtr attempt = m_services.dispatcher.send(
+    m_query.order(),
+    m_service,
+    m_tried,
+    m_sends == 0 ? AttemptKind::First : AttemptKind::Extra,
+    [self = shared_from_this()](AttemptResult aResult) {
+      self->onResult(std::move(aResult));
+    });
+  if (!attempt) {
+    return false;
+  }
+  m_tried.push_back(attempt->server());
+  m_attempts.push_back(std::move(attempt));
+  ++m_sends;
+  ++m_ran; // taken back when the server says that it didn't run
+  m_hedgeAt =
+    m_services.clock.now() + m_query.timing->hedgeDelay(*m_query.route);
+  return true;
+}
+
+void
+SingleQuery::onResult(AttemptResult aResult)
+{
+  if (m_ended) {
+    return;
+  }
+  m_attempts.erase(std::remove_if(m_attempts.begin(),
+                                  m_attempts.end(),
+                                  [&aResult](const AttemptPtr& aAttempt) {
+                                    return aAttempt->server() == aResult.server;
+                                  }),
+                   m_attempts.end());
+  if (!mayHaveRun(aResult.end)) {
+    --m_ran;
+  }
+  if (aResult.end == AttemptEnd::Good) {
+    finish(m_services.protocol.passOn(std::move(aResult.response)), "answered");
+    return;
+  }
+  if (!m_attempts.empty()) {
+    return; // a hedge still runs
+  }
+  if (send()) {
+    wakeLater();
+    return;
+  }
+  concludeWith(std::move(aResult));
+}
+
+/// Answers with a failure, as the last attempt ended without success.
+void
+SingleQuery::concludeWith(AttemptResult aResult)
+{
+  if (aResult.end == AttemptEnd::Failed) {
+    finish(m_services.protocol.passOn(std::move(aResult.response)),
+           "server failed");
+  } else if (m_ran == 0) {
+    finish(m_services.protocol.makeRefusal(kRetryAfter, "no server took it"),
+           "no server took it");
+  } else {
+    finish(makeResponse(502, "answer lost\n"), aResult.reason);
+  }
+}
+
+void
+SingleQuery::onDue()
+{
+  const TimePoint now = m_services.clock.now();
+  if (now >= m_query.schedule.giveUpAt) {
+    finish(makeResponse(504, "deadline passed\n"), "deadline passed");
+    return;
+  }
+  if (m_query.route->idempotent && now >= m_hedgeAt && !send()) {
+    m_hedgeAt = now + m_query.timing->hedgeDelay(*m_query.route);
+  }
+  wakeLater();
+}
+
+void
+SingleQuery::wakeLater()
+{
+  const TimePoint now = m_services.clock.now();
+  TimePoint next = m_query.schedule.giveUpAt;
+  if (m_query.route->idempotent && maySend()) {
+    next = std::min(next, m_hedgeAt);
+  }
+  m_timer.expires_after(std::max(Duration(0), Duration(next - now)));
+  m_timer.async_wait(
+    [self = shared_from_this()](const boost::system::error_code& aError) {
+      if (!aError && !self->m_ended) {
+        self->onDue();
+      }
+    });
+}
+
+void
+SingleQuery::finish(HttpResponse aResponse, const char* aReason)
+{
+  m_ended = true;
+  cancelAll();
+  const unsigned status = aResponse.result_int();
+  m_query.exchange->reply(std::move(aResponse));
+  std::string details = m_service + " sends " + std::to_string(m_sends);
+  for (const std::string& server : m_tried) {
+    details += " " + server;
+  }
+  logAnswer(m_query, m_services.clock.now(), status, aReason, details);
+}
+
+void
+SingleQuery::cancelAll()
+{
+  m_timer.cancel();
+  for (const AttemptPtr& attempt : m_attempts) {
+    attempt->cancel();
+  }
+  m_attempts.clear();
+}
+
+} // namespace toucanridge
--- /dev/null
+++ b/src/traffic_p.h
@@ -0,0 +1,85 @@
+#ifndef TOUCANRIDGE_TRAFFIC_P_H
+#define TOUCANRIDGE_TRAFFIC_P_H
+
+/// The traffic thread's part of a host that serves published routes: takes
+/// callers' requests, finds the route, runs the query.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include <boost/asio/io_context.hpp>
+
+#include "dispatcher_p.h"
+#include "http_server_p.h"
+#include "query_context_p.h"
+#include "routing_p.h"
+#include "server_table_p.h"
+#include "traffic_protocol_p.h"
+#include "weighted_choice_p.h"
+
+namespace toucanridge {
+
+/// What the control thread publishes to traffic.
+struct TrafficView
+{
+  std::shared_ptr<const RoutingTable> routing;      ///< may be null
+  std::shared_ptr<const ServerCatalogue> catalogue; ///< may be null
+  std::size_t hosts = 1; ///< live hosts, this one included
+};
+
+struct TrafficSettings
+{
+  std::string address;
+  std::uint16_t port = 0;
+  std::string dataCentre;
+  BudgetLimit budget;
+  std::uint64_t seed = 0;
+};
+
+class Traffic
+{
+public:
+  Traffic(boost::asio::io_context& aContext,
+          const ClockI& aClock,
+          const TrafficProtocolI& aProtocol,
+          const TrafficSettings& aSettings);
+
+  /// Starts to listen.
+  /// @returns an error when the address can't be bound
+  std::error_code init();
+  /// Takes a newer view.
+  void setView(const TrafficView& aView);
+  HttpServer& server() { return m_server; }
+  const Dispatcher& dispatcher() const { return m_dispatcher; }
+  const ServerTable& servers() const { return m_servers; }
+
+private:
+  /// What is learnt of one route, kept over configurations by its name.
+  struct RouteState
+  {
+    std::shared_ptr<RouteTiming> timing;
+    WeightedChoice choice;
+    std::chrono::milliseconds timeLimit{ 0 };
+  };
+
+  void onRequest(const HttpExchangePtr& aExchange);
+  RouteState& stateOf(const Route& aRoute);
+  void forgetRoutes();
+
+  const ClockI& m_clock;
+  const TrafficProtocolI& m_protocol;
+  const TrafficSettings m_settings;
+  ServerTable m_servers;
+  Dispatcher m_dispatcher;
+  QueryServices m_services;
+  HttpServer m_server;
+  TrafficView m_view;
+  std::map<std::string, RouteState> m_routes; ///< by name
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_TRAFFIC_P_H
--- a/src/wire_p.h
+++ b/src/wire_p.h
@@ -82,6 +82,8 @@
   TicketReply = 11,
   WarmthGrant = 12,
   WarmthReport = 13,
+  ItemsFetch = 14,
+  ItemChanges = 15,
 };
 
 /// First frame on a link, from the side that connected.
