Gather: hedge a part against the query's other parts

Ruled out: stalls of the node; the same queries show it with --no-cpu. Change: a part is late at 1.7 times the median of the parts that are in; servers are compared with each other on one query.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -16,7 +16,7 @@
 }
 
 void
-Attempt::cancel()
+Attempt::cancel(Duration aUsual)
 {
   if (!m_running) {
     return;
@@ -26,10 +26,20 @@
   m_ticket->cancel();
   const TimePoint now = m_clock->now();
   const Duration waited = now - m_sentAt;
-  m_entry->health.onSilence(now, m_timing->ratio(waited));
+  const double ratio = aUsual > Duration(0)
+                         ? static_cast<double>(waited.count()) /
+                             static_cast<double>(aUsual.count())
+                         : m_timing->ratio(waited);
+  m_entry->health.onSilence(now, ratio);
   m_timing->onLatency(waited);
 }
 
+void
+Attempt::learn(double aRatio)
+{
+  m_entry->health.onAnswer(m_clock->now(), aRatio);
+}
+
 Dispatcher::Dispatcher(const ClockI& aClock,
                        std::uint64_t aSeed,
                        const TrafficProtocolI& aProtocol,
@@ -148,10 +158,10 @@
 
 /// Says what a result means, and learns from it.
 AttemptResult
-Dispatcher::conclude(const Attempt& aAttempt, ExchangeResult aResult)
+Dispatcher::conclude(Attempt& aAttempt, ExchangeResult aResult)
 {
   const TimePoint now = m_clock.now();
-  const Duration latency = now - aAttempt.m_sentAt;
+  aAttempt.m_latency = now - aAttempt.m_sentAt;
   ServerEntry& entry = *aAttempt.m_entry;
   AttemptResult result;
   result.reason = aResult.reason;
@@ -172,8 +182,7 @@
       result.response = std::move(aResult.response);
       if (result.answer.good) {
         result.end = AttemptEnd::Good;
-        entry.health.onAnswer(now, aAttempt.m_timing->ratio(latency));
-        aAttempt.m_timing->onLatency(latency);
+        aAttempt.m_timing->onLatency(aAttempt.m_latency);
       } else {
         result.end = result.answer.notRun || result.answer.otherServer
                        ? AttemptEnd::NotRun
--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -72,8 +72,15 @@
 public:
   TimePoint sentAt() const { return m_sentAt; }
   const std::string& server() const { return m_entry->server.id; }
+  /// @returns time from the send to the end, zero while it runs
+  Duration latency() const { return m_latency; }
   /// Gives the attempt up; its callback isn't called any more.
-  void cancel();
+  /// @param[in] aUsual latency of the same request elsewhere, zero if unknown
+  void cancel(Duration aUsual = Duration(0));
+  /// Learns from a good answer how fast the server is.
+  /// @param[in] aRatio its latency divided by that of the same request
+  /// elsewhere
+  void learn(double aRatio);
 
 private:
   friend class Dispatcher;
@@ -83,6 +90,7 @@
   ServerEntryPtr m_entry;
   HttpTicketPtr m_ticket;
   TimePoint m_sentAt;
+  Duration m_latency{ 0 };
   bool m_running = false;
 };
 using AttemptPtr = std::shared_ptr<Attempt>;
@@ -125,7 +133,7 @@
   AttemptPtr sendTo(const AttemptOrder& aOrder,
                     const ServerEntryPtr& aEntry,
                     Done aDone);
-  AttemptResult conclude(const Attempt& aAttempt, ExchangeResult aResult);
+  AttemptResult conclude(Attempt& aAttempt, ExchangeResult aResult);
   SharedBudget& budget(const std::string& aService);
 
   const ClockI& m_clock;
--- a/src/gather_query.cpp
+++ b/src/gather_query.cpp
@@ -14,6 +14,15 @@
 constexpr milliseconds kRetryPause{ 30 };
 /// Sends of one part, those that no server ran included.
 constexpr std::uint32_t kMaxSends = 6;
+/// A part is late when it takes this many times as long as the query's other
+/// parts: a query that is heavy is heavy for all servers, and hedging all of it
+/// would only add load.
+constexpr double kLateFactor = 1.7;
+constexpr milliseconds kLateMargin{ 3 };
+/// Share of the parts that must be in before their latency tells anything.
+constexpr double kTellingShare = 0.25;
+/// With fewer parts in, a part is late after this share of the aim.
+constexpr double kLatestHedgeShare = 0.5;
 
 } // namespace
 
@@ -77,7 +86,7 @@
     part.retryAt = now + kRetryPause;
     return false;
   }
-  part.hedgeAt = now + m_query.timing->hedgeDelay(*m_query.route);
+  part.sentAt = now;
   part.tried.push_back(attempt->server());
   part.attempts.push_back(std::move(attempt));
   ++part.sends;
@@ -93,12 +102,14 @@
   }
   Part& part = m_parts[aPart];
   auto& running = part.attempts;
-  running.erase(std::remove_if(running.begin(),
-                               running.end(),
-                               [&aResult](const AttemptPtr& aAttempt) {
-                                 return aAttempt->server() == aResult.server;
-                               }),
-                running.end());
+  AttemptPtr ended;
+  for (std::size_t i = 0; i < running.size(); ++i) {
+    if (running[i]->server() == aResult.server) {
+      ended = running[i];
+      running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
+      break;
+    }
+  }
   if (mayHaveRun(aResult.end)) {
     m_anyRan = true;
   } else {
@@ -108,7 +119,7 @@
     return;
   }
   if (aResult.end == AttemptEnd::Good) {
-    takePart(part, std::move(aResult));
+    takePart(part, std::move(ended), std::move(aResult));
   } else if (running.empty()) {
     tryAgain(aPart);
   }
@@ -116,18 +127,62 @@
 }
 
 void
-GatherQuery::takePart(Part& aPart, AttemptResult aResult)
+GatherQuery::takePart(Part& aPart, AttemptPtr aWinner, AttemptResult aResult)
 {
   aPart.in = true;
   aPart.body = std::move(aResult.response.body());
   aPart.signature = std::move(aResult.answer.signature);
+  aPart.winner = std::move(aWinner);
   ++m_in;
+  const Duration latency = aPart.winner->latency();
+  m_latencies.insert(
+    std::upper_bound(m_latencies.begin(), m_latencies.end(), latency), latency);
   for (const AttemptPtr& attempt : aPart.attempts) {
-    attempt->cancel();
+    attempt->cancel(usualLatency());
   }
   aPart.attempts.clear();
 }
 
+/// @returns the median latency of the parts that are in, zero when too few are
+Duration
+GatherQuery::usualLatency() const
+{
+  const auto telling =
+    kTellingShare * static_cast<double>(m_query.route->shards.size());
+  return static_cast<double>(m_latencies.size()) < telling
+           ? Duration(0)
+           : m_latencies[m_latencies.size() / 2];
+}
+
+/// @returns time after which a part counts as late
+Duration
+GatherQuery::hedgeDelay() const
+{
+  const auto share = [](Duration aTime, double aFactor) {
+    return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(aTime) * aFactor);
+  };
+  const Duration usual = usualLatency();
+  return usual > Duration(0) ? share(usual, kLateFactor) + Duration(kLateMargin)
+                             : share(m_query.route->aim, kLatestHedgeShare);
+}
+
+/// Learns how fast the servers are, compared with each other on one query.
+void
+GatherQuery::learn()
+{
+  const Duration usual = usualLatency();
+  if (usual <= Duration(0)) {
+    return;
+  }
+  for (const Part& part : m_parts) {
+    if (part.in) {
+      part.winner->learn(static_cast<double>(part.winner->latency().count()) /
+                         static_cast<double>(usual.count()));
+    }
+  }
+}
+
 /// Sends a part that failed to another server, or plans to.
 void
 GatherQuery::tryAgain(std::size_t aPart)
@@ -150,6 +205,7 @@
 GatherQuery::onDue()
 {
   const TimePoint now = m_services.clock.now();
+  const Duration delay = hedgeDelay();
   for (std::size_t i = 0; i < m_parts.size() && !m_ended; ++i) {
     Part& part = m_parts[i];
     if (part.in || part.given) {
@@ -159,11 +215,9 @@
       if (now >= part.retryAt) {
         tryAgain(i);
       }
-    } else if (now >= part.hedgeAt) {
+    } else if (now >= part.sentAt + delay) {
       m_hedges += send(i) ? 1 : 0;
-      if (part.hedgeAt <= now) {
-        part.hedgeAt = now + m_query.timing->hedgeDelay(*m_query.route);
-      }
+      part.sentAt = now; // also when denied: the next try is as far away
     }
   }
   advance();
@@ -213,10 +267,15 @@
   } else if (now < times.completeBy) {
     next = std::min(next, times.completeBy);
   }
+  const Duration delay = hedgeDelay();
   for (const Part& part : m_parts) {
-    if (!part.in && !part.given) {
-      next =
-        std::min(next, part.attempts.empty() ? part.retryAt : part.hedgeAt);
+    if (part.in || part.given) {
+      continue;
+    }
+    if (part.attempts.empty()) {
+      next = std::min(next, part.retryAt);
+    } else if (mayRunOnce(part)) {
+      next = std::min(next, part.sentAt + delay);
     }
   }
   if (m_wakeAt == next) {
@@ -294,7 +353,7 @@
   m_timer.cancel();
   for (Part& part : m_parts) {
     for (const AttemptPtr& attempt : part.attempts) {
-      attempt->cancel();
+      attempt->cancel(usualLatency());
     }
     part.attempts.clear();
   }
--- a/src/gather_query_p.h
+++ b/src/gather_query_p.h
@@ -31,7 +31,8 @@
     std::vector<std::string> tried;   ///< servers
     std::uint32_t ran = 0;            ///< servers that may have run it
     std::uint32_t sends = 0;          ///< attempts made
-    TimePoint hedgeAt;
+    AttemptPtr winner;                ///< that brought the part
+    TimePoint sentAt;                 ///< of the newest attempt
     TimePoint retryAt; ///< when nothing runs and another try is due
     bool in = false;
     bool given = false; ///< given up
@@ -41,7 +42,10 @@
 
   bool send(std::size_t aPart);
   void onResult(std::size_t aPart, AttemptResult aResult);
-  void takePart(Part& aPart, AttemptResult aResult);
+  void takePart(Part& aPart, AttemptPtr aWinner, AttemptResult aResult);
+  Duration usualLatency() const;
+  Duration hedgeDelay() const;
+  void learn();
   void tryAgain(std::size_t aPart);
   bool mayRunOnce(const Part& aPart) const;
   void onDue();
@@ -57,6 +61,7 @@
   QueryContext m_query;
   boost::asio::steady_timer m_timer;
   std::vector<Part> m_parts;
+  std::vector<Duration> m_latencies; ///< of the parts that are in, sorted
   std::size_t m_needed;
   std::size_t m_in = 0;
   std::size_t m_hedges = 0;
--- a/src/single_query.cpp
+++ b/src/single_query.cpp
@@ -84,12 +84,17 @@
   if (m_ended) {
     return;
   }
-  m_attempts.erase(std::remove_if(m_attempts.begin(),
+  const auto ended = std::find_if(m_attempts.begin(),
                                   m_attempts.end(),
                                   [&aResult](const AttemptPtr& aAttempt) {
                                     return aAttempt->server() == aResult.server;
-                                  }),
-                   m_attempts.end());
+                                  });
+  if (ended != m_attempts.end()) {
+    if (aResult.end == AttemptEnd::Good) {
+      (*ended)->learn(m_query.timing->ratio((*ended)->latency()));
+    }
+    m_attempts.erase(ended);
+  }
   if (!mayHaveRun(aResult.end)) {
     --m_ran;
   }
