Relays: ask far shards through a peer in their data centre

Cause: half of the shards have no server in the data centre of the host that has the query; each of their parts crosses with its own headers. Ruled out: callers' bytes (0.004 GB at most) and hedges (about one in ten). Change: far shards go in one message to a peer that has them near; it hedges there and replies with the merged records. A peer without a sign of life loses its shards to direct requests.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -108,6 +108,19 @@
   budget(aService).onRequest();
 }
 
+std::set<std::string>
+Dispatcher::centresOf(const std::string& aService) const
+{
+  const TimePoint now = m_clock.now();
+  std::set<std::string> centres;
+  for (const ServerEntryPtr& entry : m_servers.usable(aService)) {
+    if (!entry->replaced && !entry->health.isAvoided(now)) {
+      centres.insert(entry->server.dataCentre);
+    }
+  }
+  return centres;
+}
+
 AttemptPtr
 Dispatcher::send(const AttemptOrder& aOrder,
                  const std::string& aService,
--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -124,6 +125,9 @@
                   const std::vector<std::string>& aTried,
                   AttemptKind aKind,
                   Done aDone);
+  /// @returns data centres with a server of the service that may get work and
+  ///          isn't known to fail
+  std::set<std::string> centresOf(const std::string& aService) const;
   void setHosts(std::size_t aHosts);
   const DispatcherCounters& counters() const { return m_counters; }
 
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -173,7 +173,7 @@
   }
   m_membership.tick();
   m_keeper.tick();
-  if (m_keeper.isChanged() || liveHosts() != m_publishedHosts) {
+  if (m_keeper.isChanged() || m_peersChanged || m_membership.takeChanged()) {
     publish();
   }
   m_timer.expires_after(kTick);
@@ -337,11 +337,16 @@
       m_shardServers[server.dataCentre] += shards.count(server.service);
     }
   }
-  m_publishedHosts = liveHosts();
+  m_peersChanged = false;
   TrafficView view;
   view.routing = m_routing;
   view.catalogue = m_catalogue;
-  view.hosts = m_publishedHosts;
+  view.hosts = liveHosts();
+  for (Host& host : servingHosts()) {
+    if (host.name != m_settings.host) {
+      view.peers.push_back(std::move(host));
+    }
+  }
   m_onView(view);
 }
 
@@ -373,7 +378,9 @@
                        const PeerAddress& aAddress,
                        const ConfigDigest& aDigest)
 {
-  m_peerRevisions[aHost] = aDigest.rules;
+  std::uint64_t& known = m_peerRevisions[aHost];
+  m_peersChanged |= (known == 0) != (aDigest.rules == 0);
+  known = aDigest.rules;
   m_roster.onHeard(aHost);
   if (aDigest.rules > m_items.revision()) {
     fetchFrom(aHost, aAddress);
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -105,7 +105,7 @@
   CatalogueKeeper m_keeper;
   std::shared_ptr<const RoutingTable> m_routing;
   std::shared_ptr<const ServerCatalogue> m_catalogue;
-  std::size_t m_publishedHosts = 0;
+  bool m_peersChanged = false; ///< a peer began or ceased to serve
   std::map<std::string, std::size_t> m_shardServers; ///< by data centre
   std::map<std::string, std::uint64_t> m_peerRevisions;
   TimePoint m_fetchAt; ///< no fetch before
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -22,8 +22,10 @@
 trafficSettings(const EntrySettings& aSettings, std::uint64_t aSeed)
 {
   TrafficSettings settings;
+  settings.host = aSettings.host;
   settings.address = aSettings.address;
   settings.port = aSettings.callerPort;
+  settings.relayPort = static_cast<std::uint16_t>(aSettings.peerPort + 1);
   settings.dataCentre = aSettings.dataCentre;
   settings.budget = aSettings.budget;
   settings.seed = aSeed;
@@ -98,7 +100,7 @@
 {
   std::promise<std::size_t> running;
   boost::asio::post(m_trafficContext,
-                    [&] { running.set_value(m_traffic.server().running()); });
+                    [&] { running.set_value(m_traffic.running()); });
   return running.get_future().get();
 }
 
@@ -135,7 +137,7 @@
   m_controlThread.join();
   m_trafficThread.join();
   m_control.shutdown();
-  m_traffic.server().shutdown();
+  m_traffic.shutdown();
 }
 
 } // namespace toucanridge
--- a/src/gather_query.cpp
+++ b/src/gather_query.cpp
@@ -1,28 +1,30 @@
 #include "gather_query_p.h"
 
 #include <algorithm>
+#include <set>
 #include <string_view>
 
 #include "record_merge_p.h"
+#include "relay_plan_p.h"
 
 namespace toucanridge {
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-/// Pause before a part is tried again when no server could take it.
-constexpr milliseconds kRetryPause{ 30 };
-/// Sends of one part, those that no server ran included.
-constexpr std::uint32_t kMaxSends = 6;
-/// A part is late when it takes this many times as long as the query's other
-/// parts: a query that is heavy is heavy for all servers, and hedging all of it
-/// would only add load.
-constexpr double kLateFactor = 1.7;
-constexpr milliseconds kLateMargin{ 3 };
-/// Share of the parts that must be in before their latency tells anything.
-constexpr double kTellingShare = 0.25;
-/// With fewer parts in, a part is late after this share of the aim.
-constexpr double kLatestHedgeShare = 0.5;
+/// One way between two hosts of a region, with the work at both ends.
+constexpr milliseconds kPeerWay{ 3 };
+/// A peer tells that it works on a query after half of the time for its reply;
+/// without word a little later, its shards are asked directly.
+constexpr double kRelayLateShare = 0.6;
+
+std::uint32_t
+microsOf(Duration aTime)
+{
+  const auto micros = std::chrono::duration_cast<microseconds>(aTime).count();
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, micros));
+}
 
 } // namespace
 
@@ -30,7 +32,6 @@
   : m_services(aServices)
   , m_query(std::move(aQuery))
   , m_timer(aServices.context)
-  , m_parts(m_query.route->shards.size())
   , m_needed(partsNeeded(*m_query.route))
 {
 }
@@ -39,188 +40,193 @@
 GatherQuery::start()
 {
   m_query.exchange->onAbandoned([weak = weak_from_this()] {
-    if (const auto self = weak.lock()) {
-      if (!self->m_ended) {
-        self->m_ended = true;
-        self->cancelAll();
-        logAnswer(self->m_query,
-                  self->m_services.clock.now(),
-                  0,
-                  "caller left",
-                  std::to_string(self->m_in));
-      }
+    const auto self = weak.lock();
+    if (self && !self->m_ended) {
+      self->m_ended = true;
+      self->cancelAll();
+      logAnswer(self->m_query,
+                self->m_services.clock.now(),
+                0,
+                "caller left",
+                self->details());
     }
   });
-  for (std::size_t i = 0; i < m_parts.size(); ++i) {
-    m_services.dispatcher.onRequest(m_query.route->shards[i]);
-    send(i);
-  }
+  m_fanOut = std::make_shared<ShardFanOut>(
+    m_services, m_query.order(), [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->advance();
+      }
+    });
+  plan();
   advance();
 }
 
-/// @returns true when one more server may run a part
-bool
-GatherQuery::mayRunOnce(const Part& aPart) const
+/// Divides the shards between this host and peers, and asks.
+void
+GatherQuery::plan()
 {
-  return aPart.sends < kMaxSends && aPart.ran < m_query.route->maxAttempts;
+  const auto& shards = m_query.route->shards;
+  std::vector<std::set<std::string>> centres;
+  centres.reserve(shards.size());
+  for (const std::string& shard : shards) {
+    centres.push_back(m_services.dispatcher.centresOf(shard));
+  }
+  const RelayPlan plan = planRelays(centres,
+                                    m_services.dataCentre,
+                                    m_services.relays.centres(),
+                                    m_services.dispatcher.counters().first);
+  std::vector<std::size_t> direct = plan.direct;
+  for (const auto& [centre, relayed] : plan.relayed) {
+    if (!sendRelay(centre, relayed)) {
+      direct.insert(direct.end(), relayed.begin(), relayed.end());
+    }
+  }
+  m_fanOut->add(direct, AttemptKind::First);
 }
 
-/// @returns false when nothing was sent
+/// @returns false when no peer can be asked
 bool
-GatherQuery::send(std::size_t aPart)
+GatherQuery::sendRelay(const std::string& aDataCentre,
+                       const std::vector<std::size_t>& aShards)
 {
-  Part& part = m_parts[aPart];
-  if (!mayRunOnce(part)) {
-    return false;
-  }
-  AttemptPtr attempt = m_services.dispatcher.send(
-    m_query.order(),
-    m_query.route->shards[aPart],
-    part.tried,
-    part.sends == 0 ? AttemptKind::First : AttemptKind::Extra,
-    [self = shared_from_this(), aPart](AttemptResult aResult) {
-      self->onResult(aPart, std::move(aResult));
-    });
   const TimePoint now = m_services.clock.now();
-  if (!attempt) {
-    part.retryAt = now + kRetryPause;
+  const HttpRequest& request = m_query.exchange->request();
+  RelayQuery relay;
+  relay.version = m_query.routing->version();
+  relay.route = m_query.route->name;
+  relay.leftUs = microsOf(m_query.schedule.giveUpAt - now - kPeerWay);
+  const TimePoint replyAt =
+    std::max(m_query.schedule.aimAt - 2 * kPeerWay, now + kPeerWay);
+  relay.replyInUs = microsOf(replyAt - now);
+  relay.method = std::string(request.method_string());
+  relay.target = std::string(request.target());
+  const std::string_view connection = headerValue(request.base(), "Connection");
+  for (const auto& field : request.base()) {
+    const auto name = field.name_string();
+    if (!isHopByHop({ name.data(), name.size() }, connection)) {
+      relay.headers.push_back(
+        { std::string(name), std::string(field.value()) });
+    }
+  }
+  relay.body = request.body();
+  relay.shards = makeBits(aShards, m_query.route->shards.size());
+  const std::uint64_t number =
+    m_services.relays.send(aDataCentre, std::move(relay), weak_from_this());
+  if (number == 0) {
     return false;
   }
-  part.sentAt = now;
-  part.tried.push_back(attempt->server());
-  part.attempts.push_back(std::move(attempt));
-  ++part.sends;
-  ++part.ran; // taken back when the server says that it didn't run
+  m_relays[number].asked = aShards;
+  m_relayLateAt =
+    now +
+    std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(replyAt - now) * kRelayLateShare) +
+    2 * kPeerWay;
   return true;
 }
 
 void
-GatherQuery::onResult(std::size_t aPart, AttemptResult aResult)
+GatherQuery::onRelayReply(std::uint64_t aRelay, const RelayReply& aReply)
 {
-  if (m_ended) {
+  const auto found = m_relays.find(aRelay);
+  if (m_ended || found == m_relays.end()) {
     return;
   }
-  Part& part = m_parts[aPart];
-  auto& running = part.attempts;
-  AttemptPtr ended;
-  for (std::size_t i = 0; i < running.size(); ++i) {
-    if (running[i]->server() == aResult.server) {
-      ended = running[i];
-      running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
-      break;
+  Relay& relay = found->second;
+  relay.signOfLife = true;
+  if (aReply.state != RelayState::Running) {
+    relay.in = readBits(aReply.shards, m_query.route->shards.size());
+    relay.signatures = aReply.signatures;
+    relay.records = aReply.records;
+    if (relay.in.size() != relay.signatures.size()) {
+      relay.in.clear(); // malformed: none of it can be used
+      relay.signatures.clear();
+      relay.records.clear();
     }
   }
-  if (mayHaveRun(aResult.end)) {
-    m_anyRan = true;
-  } else {
-    --part.ran;
-  }
-  if (part.in) {
-    return;
-  }
-  if (aResult.end == AttemptEnd::Good) {
-    takePart(part, std::move(ended), std::move(aResult));
-  } else if (running.empty()) {
-    tryAgain(aPart);
+  if (aReply.state == RelayState::Final && !relay.ended) {
+    relay.ended = true;
+    takeOver(relay);
   }
   advance();
 }
 
 void
-GatherQuery::takePart(Part& aPart, AttemptPtr aWinner, AttemptResult aResult)
+GatherQuery::onRelayLost(std::uint64_t aRelay)
 {
-  aPart.in = true;
-  aPart.body = std::move(aResult.response.body());
-  aPart.signature = std::move(aResult.answer.signature);
-  aPart.winner = std::move(aWinner);
-  ++m_in;
-  const Duration latency = aPart.winner->latency();
-  m_latencies.insert(
-    std::upper_bound(m_latencies.begin(), m_latencies.end(), latency), latency);
-  for (const AttemptPtr& attempt : aPart.attempts) {
-    attempt->cancel(usualLatency());
+  const auto found = m_relays.find(aRelay);
+  if (m_ended || found == m_relays.end() || found->second.ended) {
+    return;
   }
-  aPart.attempts.clear();
-}
-
-/// @returns the median latency of the parts that are in, zero when too few are
-Duration
-GatherQuery::usualLatency() const
-{
-  const auto telling =
-    kTellingShare * static_cast<double>(m_query.route->shards.size());
-  return static_cast<double>(m_latencies.size()) < telling
-           ? Duration(0)
-           : m_latencies[m_latencies.size() / 2];
+  found->second.ended = true;
+  takeOver(found->second);
+  advance();
 }
 
-/// @returns time after which a part counts as late
-Duration
-GatherQuery::hedgeDelay() const
+/// Asks the shards that a relay doesn't bring. Servers may have had them.
+void
+GatherQuery::takeOver(Relay& aRelay)
 {
-  const auto share = [](Duration aTime, double aFactor) {
-    return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(aTime) * aFactor);
-  };
-  const Duration usual = usualLatency();
-  return usual > Duration(0) ? share(usual, kLateFactor) + Duration(kLateMargin)
-                             : share(m_query.route->aim, kLatestHedgeShare);
+  std::vector<std::size_t> missing;
+  for (const std::size_t shard : aRelay.asked) {
+    if (std::find(aRelay.in.begin(), aRelay.in.end(), shard) ==
+        aRelay.in.end()) {
+      missing.push_back(shard);
+    }
+  }
+  m_taken += missing.size();
+  m_fanOut->add(missing, AttemptKind::Extra);
 }
 
-/// Learns how fast the servers are, compared with each other on one query.
 void
-GatherQuery::learn()
+GatherQuery::checkRelays(TimePoint aNow)
 {
-  const Duration usual = usualLatency();
-  if (usual <= Duration(0)) {
+  if (aNow < m_relayLateAt) {
     return;
   }
-  for (const Part& part : m_parts) {
-    if (part.in) {
-      part.winner->learn(static_cast<double>(part.winner->latency().count()) /
-                         static_cast<double>(usual.count()));
+  for (auto& [number, relay] : m_relays) {
+    if (!relay.ended && !relay.signOfLife) {
+      m_services.relays.onSilent(number);
+      relay.signOfLife = true; // taken over; a reply may still come
+      takeOver(relay);
     }
   }
 }
 
-/// Sends a part that failed to another server, or plans to.
-void
-GatherQuery::tryAgain(std::size_t aPart)
+/// @returns shards whose part is in directly and in no relay's reply
+std::vector<std::size_t>
+GatherQuery::directShards() const
 {
-  Part& part = m_parts[aPart];
-  if (send(aPart)) {
-    m_retries += part.sends > 1 ? 1 : 0;
-    return;
+  std::set<std::size_t> relayed;
+  for (const auto& entry : m_relays) {
+    relayed.insert(entry.second.in.begin(), entry.second.in.end());
   }
-  if (!mayRunOnce(part)) {
-    part.given = true;
-    return;
+  std::vector<std::size_t> direct;
+  for (std::size_t i = 0; i < m_query.route->shards.size(); ++i) {
+    if (m_fanOut->isIn(i) && relayed.count(i) == 0) {
+      direct.push_back(i);
+    }
   }
-  // Every server had it, or the budget is spent. Servers that didn't run it
-  // may take it a little later.
-  part.tried.clear();
+  return direct;
 }
 
-void
-GatherQuery::onDue()
+std::size_t
+GatherQuery::countIn() const
 {
-  const TimePoint now = m_services.clock.now();
-  const Duration delay = hedgeDelay();
-  for (std::size_t i = 0; i < m_parts.size() && !m_ended; ++i) {
-    Part& part = m_parts[i];
-    if (part.in || part.given) {
-      continue;
-    }
-    if (part.attempts.empty()) {
-      if (now >= part.retryAt) {
-        tryAgain(i);
-      }
-    } else if (now >= part.sentAt + delay) {
-      m_hedges += send(i) ? 1 : 0;
-      part.sentAt = now; // also when denied: the next try is as far away
-    }
+  std::size_t in = m_relays.empty() ? m_fanOut->in() : directShards().size();
+  for (const auto& entry : m_relays) {
+    in += entry.second.in.size();
   }
-  advance();
+  return in;
+}
+
+/// @returns true when more parts may come
+bool
+GatherQuery::isWaiting() const
+{
+  return !m_fanOut->isDone() ||
+         std::any_of(m_relays.begin(), m_relays.end(), [](const auto& aEntry) {
+           return !aEntry.second.ended;
+         });
 }
 
 /// Answers when the time or the parts call for it, else waits on.
@@ -231,13 +237,13 @@
     return;
   }
   const TimePoint now = m_services.clock.now();
+  checkRelays(now);
   const QuerySchedule& schedule = m_query.schedule;
-  const bool waitsOn =
-    std::any_of(m_parts.begin(), m_parts.end(), [](const Part& aPart) {
-      return !aPart.in && !aPart.given;
-    });
-  if (!waitsOn || now >= schedule.giveUpAt) {
-    if (isEnough()) {
+  const std::size_t in = countIn();
+  const bool enough = in >= m_needed;
+  if (in == m_query.route->shards.size() || !isWaiting() ||
+      now >= schedule.giveUpAt) {
+    if (enough) {
       answer();
     } else {
       fail(now);
@@ -247,47 +253,35 @@
   // Just before the aim, enough parts are worth more than all of them late.
   // Once the aim is missed, all of them are worth waiting for a little.
   const bool aimReached = now >= schedule.aimAt;
-  if (isEnough() && aimReached &&
-      (!m_aimPassed || now >= schedule.completeBy)) {
+  if (enough && aimReached && (!m_aimPassed || now >= schedule.completeBy)) {
     answer();
     return;
   }
   m_aimPassed |= aimReached;
-  wakeLater();
+  wakeLater(now);
 }
 
 void
-GatherQuery::wakeLater()
+GatherQuery::wakeLater(TimePoint aNow)
 {
-  const TimePoint now = m_services.clock.now();
-  const QuerySchedule& times = m_query.schedule;
-  TimePoint next = times.giveUpAt;
-  if (now < times.aimAt) {
-    next = std::min(next, times.aimAt);
-  } else if (now < times.completeBy) {
-    next = std::min(next, times.completeBy);
-  }
-  const Duration delay = hedgeDelay();
-  for (const Part& part : m_parts) {
-    if (part.in || part.given) {
-      continue;
-    }
-    if (part.attempts.empty()) {
-      next = std::min(next, part.retryAt);
-    } else if (mayRunOnce(part)) {
-      next = std::min(next, part.sentAt + delay);
+  const QuerySchedule& schedule = m_query.schedule;
+  TimePoint next = schedule.giveUpAt;
+  for (const TimePoint time :
+       { schedule.aimAt, schedule.completeBy, m_relayLateAt }) {
+    if (aNow < time) {
+      next = std::min(next, time);
     }
   }
   if (m_wakeAt == next) {
     return;
   }
   m_wakeAt = next;
-  m_timer.expires_after(std::max(Duration(0), Duration(next - now)));
+  m_timer.expires_after(std::max(Duration(0), Duration(next - aNow)));
   m_timer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aError) {
       if (!aError && !self->m_ended) {
         self->m_wakeAt = TimePoint();
-        self->onDue();
+        self->advance();
       }
     });
 }
@@ -297,13 +291,17 @@
 {
   std::vector<std::string> signatures;
   std::vector<std::string_view> bodies;
-  for (const Part& part : m_parts) {
-    if (part.in) {
-      signatures.push_back(part.signature);
-      bodies.push_back(part.body);
-    }
+  for (const std::size_t shard : directShards()) {
+    signatures.push_back(m_fanOut->signature(shard));
+    bodies.push_back(m_fanOut->body(shard));
   }
-  const std::size_t missing = m_parts.size() - m_in;
+  for (const auto& entry : m_relays) {
+    const Relay& relay = entry.second;
+    signatures.insert(
+      signatures.end(), relay.signatures.begin(), relay.signatures.end());
+    bodies.push_back(relay.records);
+  }
+  const std::size_t missing = m_query.route->shards.size() - signatures.size();
   finish(
     m_services.protocol.makeMerged(
       signatures, missing, mergeRecords(bodies, m_query.route->topRecords)),
@@ -313,10 +311,8 @@
 void
 GatherQuery::fail(TimePoint aNow)
 {
-  if (!m_anyRan &&
-      std::all_of(m_parts.begin(), m_parts.end(), [](const Part& aPart) {
-        return aPart.attempts.empty();
-      })) {
+  // A peer's servers may have run parts that never came back.
+  if (!m_fanOut->anyRan() && m_fanOut->isDone() && m_relays.empty()) {
     finish(m_services.protocol.makeRefusal(kRetryAfter, "no server took it"),
            "no server took it");
     return;
@@ -330,32 +326,49 @@
 GatherQuery::finish(HttpResponse aResponse, const char* aReason)
 {
   m_ended = true;
+  const std::string parts = details();
+  m_fanOut->learn();
   cancelAll();
   const unsigned status = aResponse.result_int();
   m_query.exchange->reply(std::move(aResponse));
-  std::string details =
-    std::to_string(m_in) + "/" + std::to_string(m_parts.size()) + " hedges " +
-    std::to_string(m_hedges) + " retries " + std::to_string(m_retries);
-  if (m_in < m_parts.size()) {
-    details += " lacking";
-    for (std::size_t i = 0; i < m_parts.size(); ++i) {
-      if (!m_parts[i].in) {
-        details += " " + m_query.route->shards[i];
-      }
+  logAnswer(m_query, m_services.clock.now(), status, aReason, parts);
+}
+
+/// @returns the counts that explain an answer, and the shards it lacks
+std::string
+GatherQuery::details() const
+{
+  const auto& shards = m_query.route->shards;
+  std::set<std::size_t> in;
+  for (const std::size_t shard : directShards()) {
+    in.insert(shard);
+  }
+  for (const auto& entry : m_relays) {
+    in.insert(entry.second.in.begin(), entry.second.in.end());
+  }
+  std::string text =
+    std::to_string(in.size()) + "/" + std::to_string(shards.size()) +
+    " hedges " + std::to_string(m_fanOut->hedges()) + " retries " +
+    std::to_string(m_fanOut->retries()) + " relays " +
+    std::to_string(m_relays.size()) + " taken " + std::to_string(m_taken);
+  if (in.size() < shards.size()) {
+    text += " lacking";
+    for (std::size_t i = 0; i < shards.size(); ++i) {
+      text += in.count(i) == 0 ? " " + shards[i] : "";
     }
   }
-  logAnswer(m_query, m_services.clock.now(), status, aReason, details);
+  return text;
 }
 
 void
 GatherQuery::cancelAll()
 {
   m_timer.cancel();
-  for (Part& part : m_parts) {
-    for (const AttemptPtr& attempt : part.attempts) {
-      attempt->cancel(usualLatency());
+  m_fanOut->cancel();
+  for (const auto& [number, relay] : m_relays) {
+    if (!relay.ended) {
+      m_services.relays.cancel(number);
     }
-    part.attempts.clear();
   }
 }
 
--- a/src/gather_query_p.h
+++ b/src/gather_query_p.h
@@ -1,12 +1,12 @@
 #ifndef TOUCANRIDGE_GATHER_QUERY_P_H
 #define TOUCANRIDGE_GATHER_QUERY_P_H
 
-/// A query that every shard answers: fans out, hedges, merges, and decides
-/// when to answer with the parts that are in.
+/// A query that every shard answers: asks near shards itself and others through
+/// peers, merges, and decides when to answer with the parts that are in.
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -14,61 +14,61 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "query_context_p.h"
+#include "relay_client_p.h"
+#include "shard_fan_out_p.h"
 
 namespace toucanridge {
 
-class GatherQuery : public std::enable_shared_from_this<GatherQuery>
+class GatherQuery
+  : public RelayListenerI
+  , public std::enable_shared_from_this<GatherQuery>
 {
 public:
   GatherQuery(const QueryServices& aServices, QueryContext aQuery);
 
   void start();
 
+  void onRelayReply(std::uint64_t aRelay, const RelayReply& aReply) override;
+  void onRelayLost(std::uint64_t aRelay) override;
+
 private:
-  struct Part
+  /// Shards that a peer asks.
+  struct Relay
   {
-    std::vector<AttemptPtr> attempts; ///< that run
-    std::vector<std::string> tried;   ///< servers
-    std::uint32_t ran = 0;            ///< servers that may have run it
-    std::uint32_t sends = 0;          ///< attempts made
-    AttemptPtr winner;                ///< that brought the part
-    TimePoint sentAt;                 ///< of the newest attempt
-    TimePoint retryAt; ///< when nothing runs and another try is due
-    bool in = false;
-    bool given = false; ///< given up
-    std::string body;
-    std::string signature;
+    std::vector<std::size_t> asked;
+    std::vector<std::size_t> in;
+    std::vector<std::string> signatures; ///< parallel to in
+    std::string records;                 ///< merged from the parts that are in
+    bool signOfLife = false;
+    bool ended = false;
   };
 
-  bool send(std::size_t aPart);
-  void onResult(std::size_t aPart, AttemptResult aResult);
-  void takePart(Part& aPart, AttemptPtr aWinner, AttemptResult aResult);
-  Duration usualLatency() const;
-  Duration hedgeDelay() const;
-  void learn();
-  void tryAgain(std::size_t aPart);
-  bool mayRunOnce(const Part& aPart) const;
-  void onDue();
+  void plan();
+  bool sendRelay(const std::string& aDataCentre,
+                 const std::vector<std::size_t>& aShards);
+  void takeOver(Relay& aRelay);
+  void checkRelays(TimePoint aNow);
+  std::vector<std::size_t> directShards() const;
+  std::size_t countIn() const;
+  bool isWaiting() const;
   void advance();
-  void wakeLater();
-  bool isEnough() const { return m_in >= m_needed; }
+  void wakeLater(TimePoint aNow);
   void answer();
   void fail(TimePoint aNow);
   void finish(HttpResponse aResponse, const char* aReason);
+  std::string details() const;
   void cancelAll();
 
   QueryServices m_services;
   QueryContext m_query;
   boost::asio::steady_timer m_timer;
-  std::vector<Part> m_parts;
-  std::vector<Duration> m_latencies; ///< of the parts that are in, sorted
+  TimePoint m_wakeAt; ///< when the timer fires
+  std::shared_ptr<ShardFanOut> m_fanOut;
+  std::map<std::uint64_t, Relay> m_relays;
+  TimePoint m_relayLateAt; ///< a peer without a sign of life counts as lost
   std::size_t m_needed;
-  std::size_t m_in = 0;
-  std::size_t m_hedges = 0;
-  std::size_t m_retries = 0;
-  bool m_anyRan = false;    ///< a server may have run a part
+  std::size_t m_taken = 0;  ///< shards taken over from peers
   bool m_aimPassed = false; ///< too few parts were in at the aim
-  TimePoint m_wakeAt;       ///< when the timer fires
   bool m_ended = false;
 };
 
--- a/src/query_context_p.h
+++ b/src/query_context_p.h
@@ -11,6 +11,7 @@
 #include "answer_timing_p.h"
 #include "dispatcher_p.h"
 #include "http_server_p.h"
+#include "relay_client_p.h"
 #include "routing_p.h"
 #include "traffic_protocol_p.h"
 
@@ -23,6 +24,8 @@
   const ClockI& clock;
   const TrafficProtocolI& protocol;
   Dispatcher& dispatcher;
+  RelayClient& relays;
+  const std::string& dataCentre; ///< of this host
 };
 
 /// One caller's request and the configuration that governs it to its end.
--- /dev/null
+++ b/src/relay_worker.cpp
@@ -0,0 +1,239 @@
+#include "relay_worker_p.h"
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "log_p.h"
+#include "record_merge_p.h"
+#include "shard_fan_out_p.h"
+
+namespace toucanridge {
+namespace {
+
+using std::chrono::microseconds;
+
+/// A query that isn't done after this share of the time for its reply tells so.
+/// The asking host then knows that this one works on it.
+constexpr int kSignDivisor = 2;
+
+HttpRequest
+requestOf(const RelayQuery& aQuery)
+{
+  HttpRequest request;
+  request.method_string(aQuery.method);
+  request.target(aQuery.target);
+  for (const RelayHeader& header : aQuery.headers) {
+    request.insert(header.name, header.value);
+  }
+  request.body() = aQuery.body;
+  return request;
+}
+
+} // namespace
+
+/// One part of a peer's query.
+class RelayedQuery : public std::enable_shared_from_this<RelayedQuery>
+{
+public:
+  RelayedQuery(RelayWorker& aWorker,
+               RelayWorker::Key aKey,
+               const RelayQuery& aQuery,
+               RelayWorker::FoundRoute aFound,
+               PeerLinks::Reply aReply)
+    : m_worker(aWorker)
+    , m_key(std::move(aKey))
+    , m_request(requestOf(aQuery))
+    , m_terms(aWorker.m_services.protocol.readTerms(m_request))
+    , m_found(std::move(aFound))
+    , m_reply(std::move(aReply))
+    , m_shards(readBits(aQuery.shards, m_found.route->shards.size()))
+    , m_begun(aWorker.m_services.clock.now())
+    , m_replyAt(m_begun + microseconds(aQuery.replyInUs))
+    , m_deadline(m_begun + microseconds(aQuery.leftUs))
+    , m_timer(aWorker.m_services.context)
+  {
+  }
+
+  void start()
+  {
+    m_fanOut = std::make_shared<ShardFanOut>(
+      m_worker.m_services,
+      AttemptOrder{
+        m_request, m_terms, *m_found.route, *m_found.timing, m_deadline },
+      [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->advance();
+        }
+      });
+    m_fanOut->add(m_shards, AttemptKind::First);
+    wakeAt(m_begun + (m_replyAt - m_begun) / kSignDivisor);
+    advance();
+  }
+
+  void cancel()
+  {
+    m_ended = true;
+    m_timer.cancel();
+    m_fanOut->learn();
+    m_fanOut->cancel();
+  }
+
+private:
+  void advance()
+  {
+    if (!m_ended && m_fanOut->isDone()) {
+      finish();
+    }
+  }
+
+  void wakeAt(TimePoint aTime)
+  {
+    m_timer.expires_after(
+      std::max(Duration(0), Duration(aTime - m_worker.m_services.clock.now())));
+    m_timer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& aError) {
+        if (!aError && !self->m_ended) {
+          self->onDue();
+        }
+      });
+  }
+
+  void onDue()
+  {
+    const TimePoint now = m_worker.m_services.clock.now();
+    if (now >= m_deadline) {
+      finish();
+    } else if (now >= m_replyAt) {
+      sendReply(RelayState::Partial);
+      wakeAt(m_deadline);
+    } else {
+      sendReply(RelayState::Running);
+      wakeAt(m_replyAt);
+    }
+  }
+
+  void sendReply(RelayState aState)
+  {
+    RelayReply reply;
+    reply.query = m_key.second;
+    reply.state = aState;
+    if (aState != RelayState::Running) {
+      std::vector<std::size_t> in;
+      std::vector<std::string_view> bodies;
+      for (const std::size_t shard : m_shards) {
+        if (m_fanOut->isIn(shard)) {
+          in.push_back(shard);
+          bodies.push_back(m_fanOut->body(shard));
+          reply.signatures.push_back(m_fanOut->signature(shard));
+        }
+      }
+      reply.shards = makeBits(in, m_found.route->shards.size());
+      reply.records = mergeRecords(bodies, m_found.route->topRecords);
+    }
+    m_reply(MessageType::RelayReply, encode(std::move(reply)));
+  }
+
+  void finish()
+  {
+    const auto self = shared_from_this();
+    sendReply(RelayState::Final);
+    logDone();
+    cancel();
+    m_worker.ended(m_key);
+  }
+
+  void logDone() const
+  {
+    if (!logEnabled(LogLevel::Info)) {
+      return;
+    }
+    const auto took = std::chrono::duration_cast<microseconds>(
+      m_worker.m_services.clock.now() - m_begun);
+    logWrite(LogLevel::Info,
+             LogLine("relay")
+               .add("id", m_terms.requestId)
+               .add("peer", m_key.first)
+               .add("route", m_found.route->name)
+               .add("version", m_found.routing->version())
+               .add("us", took.count())
+               .add("in", m_fanOut->in())
+               .add("asked", m_shards.size())
+               .add("hedges", m_fanOut->hedges())
+               .add("retries", m_fanOut->retries()));
+  }
+
+  RelayWorker& m_worker;
+  const RelayWorker::Key m_key;
+  const HttpRequest m_request;
+  const CallerTerms m_terms;
+  const RelayWorker::FoundRoute m_found;
+  const PeerLinks::Reply m_reply;
+  const std::vector<std::size_t> m_shards;
+  const TimePoint m_begun;
+  const TimePoint m_replyAt;
+  const TimePoint m_deadline;
+  boost::asio::steady_timer m_timer;
+  std::shared_ptr<ShardFanOut> m_fanOut;
+  bool m_ended = false;
+};
+
+RelayWorker::RelayWorker(const QueryServices& aServices, FindRoute aFindRoute)
+  : m_services(aServices)
+  , m_findRoute(std::move(aFindRoute))
+{
+}
+
+RelayWorker::~RelayWorker() = default;
+
+void
+RelayWorker::onQuery(const std::string& aHost,
+                     const std::string& aPayload,
+                     const PeerLinks::Reply& aReply)
+{
+  const auto query = decode<RelayQuery>(aPayload);
+  if (!query) {
+    logWrite(LogLevel::Warn,
+             LogLine("relay-query-malformed").add("peer", aHost));
+    return;
+  }
+  FoundRoute found = m_findRoute(query->version, query->route);
+  if (found.route == nullptr || !found.route->isGather()) {
+    logWrite(LogLevel::Info,
+             LogLine("relay-refused")
+               .add("peer", aHost)
+               .add("route", query->route)
+               .add("version", query->version));
+    RelayReply reply;
+    reply.query = query->query;
+    reply.state = RelayState::Final;
+    aReply(MessageType::RelayReply, encode(std::move(reply)));
+    return;
+  }
+  const Key key{ aHost, query->query };
+  auto relayed = std::make_shared<RelayedQuery>(
+    *this, key, *query, std::move(found), aReply);
+  m_running[key] = relayed;
+  relayed->start();
+}
+
+void
+RelayWorker::onCancel(const std::string& aHost, const std::string& aPayload)
+{
+  const auto cancel = decode<RelayCancel>(aPayload);
+  const auto found =
+    cancel ? m_running.find({ aHost, cancel->query }) : m_running.end();
+  if (found != m_running.end()) {
+    found->second->cancel();
+    m_running.erase(found);
+  }
+}
+
+void
+RelayWorker::ended(const Key& aKey)
+{
+  m_running.erase(aKey);
+}
+
+} // namespace toucanridge
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -5,6 +5,13 @@
 #include "single_query_p.h"
 
 namespace toucanridge {
+namespace {
+
+/// Configurations kept for peers' queries: in a storm of changes a query runs
+/// for as long as a few versions last.
+constexpr std::size_t kVersionsKept = 8;
+
+} // namespace
 
 Traffic::Traffic(boost::asio::io_context& aContext,
                  const ClockI& aClock,
@@ -15,7 +22,14 @@
   , m_settings(aSettings)
   , m_servers(aContext, aClock, aSettings.dataCentre)
   , m_dispatcher(aClock, aSettings.seed, aProtocol, m_servers, aSettings.budget)
-  , m_services{ aContext, aClock, aProtocol, m_dispatcher }
+  , m_links(aContext, Hello{ aSettings.host, aSettings.seed })
+  , m_relays(aClock, m_links, aSettings.host, aSettings.seed << 16U)
+  , m_services{ aContext,     aClock,   aProtocol,
+                m_dispatcher, m_relays, m_settings.dataCentre }
+  , m_worker(m_services,
+             [this](std::uint64_t aVersion, const std::string& aRoute) {
+               return findRoute(aVersion, aRoute);
+             })
   , m_server(aContext, aClock, [this](const HttpExchangePtr& aExchange) {
     onRequest(aExchange);
   })
@@ -25,7 +39,38 @@
 std::error_code
 Traffic::init()
 {
-  return m_server.init(m_settings.address, m_settings.port);
+  PeerLinks::Handlers handlers;
+  handlers.onRequest = [this](const std::string& aHost,
+                              MessageType aType,
+                              const std::string& aPayload,
+                              const PeerLinks::Reply& aReply) {
+    if (aType == MessageType::RelayQuery) {
+      m_worker.onQuery(aHost, aPayload, aReply);
+    } else if (aType == MessageType::RelayCancel) {
+      m_worker.onCancel(aHost, aPayload);
+    }
+  };
+  handlers.onReply = [this](const std::string& aHost,
+                            MessageType aType,
+                            const std::string& aPayload) {
+    if (aType == MessageType::RelayReply) {
+      m_relays.onReply(aHost, aPayload);
+    }
+  };
+  handlers.onLost = [this](const std::string& aHost,
+                           const std::vector<std::uint64_t>&) {
+    m_relays.onLost(aHost);
+  };
+  const std::error_code error =
+    m_links.init(m_settings.address, m_settings.relayPort, std::move(handlers));
+  return error ? error : m_server.init(m_settings.address, m_settings.port);
+}
+
+void
+Traffic::shutdown()
+{
+  m_links.shutdown();
+  m_server.shutdown();
 }
 
 void
@@ -35,6 +80,7 @@
   m_view = aView;
   m_servers.setHosts(aView.hosts);
   m_dispatcher.setHosts(aView.hosts);
+  m_relays.setPeers(aView.peers);
   if (!m_view.routing) {
     return;
   }
@@ -43,6 +89,10 @@
   }
   if (routingChanged) {
     m_server.setLimits(m_view.routing->limits());
+    m_versions.push_back(m_view.routing);
+    if (m_versions.size() > kVersionsKept) {
+      m_versions.pop_front();
+    }
     forgetRoutes();
   }
 }
@@ -71,6 +121,25 @@
   return state;
 }
 
+RelayWorker::FoundRoute
+Traffic::findRoute(std::uint64_t aVersion, const std::string& aRoute)
+{
+  RelayWorker::FoundRoute found;
+  for (const auto& routing : m_versions) {
+    if (routing->version() != aVersion) {
+      continue;
+    }
+    for (const Route& route : routing->routes()) {
+      if (route.name == aRoute) {
+        found.routing = routing;
+        found.route = &route;
+        found.timing = stateOf(route).timing;
+      }
+    }
+  }
+  return found;
+}
+
 void
 Traffic::onRequest(const HttpExchangePtr& aExchange)
 {
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -5,6 +5,7 @@
 /// callers' requests, finds the route, runs the query.
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -14,7 +15,10 @@
 
 #include "dispatcher_p.h"
 #include "http_server_p.h"
+#include "peer_link_p.h"
 #include "query_context_p.h"
+#include "relay_client_p.h"
+#include "relay_worker_p.h"
 #include "routing_p.h"
 #include "server_table_p.h"
 #include "traffic_protocol_p.h"
@@ -27,13 +31,16 @@
 {
   std::shared_ptr<const RoutingTable> routing;      ///< may be null
   std::shared_ptr<const ServerCatalogue> catalogue; ///< may be null
-  std::size_t hosts = 1; ///< live hosts, this one included
+  std::size_t hosts = 1;   ///< live hosts, this one included
+  std::vector<Host> peers; ///< other hosts that serve
 };
 
 struct TrafficSettings
 {
+  std::string host;
   std::string address;
   std::uint16_t port = 0;
+  std::uint16_t relayPort = 0;
   std::string dataCentre;
   BudgetLimit budget;
   std::uint64_t seed = 0;
@@ -53,6 +60,12 @@
   /// Takes a newer view.
   void setView(const TrafficView& aView);
   HttpServer& server() { return m_server; }
+  /// @returns requests of callers and peers that have no answer yet
+  std::size_t running() const
+  {
+    return m_server.running() + m_worker.running();
+  }
+  void shutdown();
   const Dispatcher& dispatcher() const { return m_dispatcher; }
   const ServerTable& servers() const { return m_servers; }
 
@@ -66,6 +79,8 @@
   };
 
   void onRequest(const HttpExchangePtr& aExchange);
+  RelayWorker::FoundRoute findRoute(std::uint64_t aVersion,
+                                    const std::string& aRoute);
   RouteState& stateOf(const Route& aRoute);
   void forgetRoutes();
 
@@ -74,8 +89,13 @@
   const TrafficSettings m_settings;
   ServerTable m_servers;
   Dispatcher m_dispatcher;
+  PeerLinks m_links;
+  RelayClient m_relays;
   QueryServices m_services;
+  RelayWorker m_worker;
   HttpServer m_server;
+  /// Newest last; a peer may be a few versions behind or ahead.
+  std::deque<std::shared_ptr<const RoutingTable>> m_versions;
   TrafficView m_view;
   std::map<std::string, RouteState> m_routes; ///< by name
 };
--- a/src/wire_p.h
+++ b/src/wire_p.h
@@ -84,6 +84,9 @@
   WarmthReport = 13,
   ItemsFetch = 14,
   ItemChanges = 15,
+  RelayQuery = 16,
+  RelayReply = 17,
+  RelayCancel = 18,
 };
 
 /// First frame on a link, from the side that connected.
