Relays: both sides choose among the same servers of a shard

Cause of the broken BUDGET on the grown site: the peer and the host that took over chose servers apart from each other, three for two allowed. Change: servers of a relayed shard are ranked by the peer's data centre and id, and only as many as may run the request are used by either side.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -2,9 +2,35 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 #include "log_p.h"
 
 namespace toucanridge {
+namespace {
+
+/// @returns the first servers of a scope, in an order that depends on what is
+///          published alone
+std::vector<ServerEntryPtr>
+within(std::vector<ServerEntryPtr> aServers,
+       const ServerScope& aScope,
+       std::size_t aMost)
+{
+  const auto rank = [&aScope](const ServerEntryPtr& aEntry) {
+    const std::string& id = aEntry->server.id;
+    return std::make_pair(aEntry->server.dataCentre != aScope.dataCentre,
+                          XXH3_64bits(id.data(), id.size()));
+  };
+  std::sort(aServers.begin(),
+            aServers.end(),
+            [&rank](const ServerEntryPtr& aOne, const ServerEntryPtr& aOther) {
+              return rank(aOne) < rank(aOther);
+            });
+  aServers.resize(std::min(aServers.size(), std::max<std::size_t>(1, aMost)));
+  return aServers;
+}
+
+} // namespace
 
 const char*
 toString(AttemptEnd aEnd) noexcept
@@ -74,14 +100,13 @@
 }
 
 ServerEntryPtr
-Dispatcher::choose(const std::string& aService,
+Dispatcher::choose(const std::vector<ServerEntryPtr>& aServers,
                    const std::vector<std::string>& aTried)
 {
   const TimePoint now = m_clock.now();
-  const auto& servers = m_servers.usable(aService);
   std::vector<ServerOption> options;
-  for (std::size_t i = 0; i < servers.size(); ++i) {
-    const ServerEntry& entry = *servers[i];
+  for (std::size_t i = 0; i < aServers.size(); ++i) {
+    const ServerEntry& entry = *aServers[i];
     const bool tried =
       std::find(aTried.begin(), aTried.end(), entry.server.id) != aTried.end();
     if (tried || entry.replaced || !entry.cold.allows(now)) {
@@ -99,7 +124,7 @@
   }
   const double uniform = std::uniform_real_distribution<double>()(m_random);
   const std::size_t best = chooseServer(options, uniform);
-  return best == options.size() ? nullptr : servers[options[best].index];
+  return best == options.size() ? nullptr : aServers[options[best].index];
 }
 
 void
@@ -126,9 +151,14 @@
                  const std::string& aService,
                  const std::vector<std::string>& aTried,
                  AttemptKind aKind,
+                 const ServerScope& aScope,
                  Done aDone)
 {
-  const ServerEntryPtr entry = choose(aService, aTried);
+  const auto& usable = m_servers.usable(aService);
+  const ServerEntryPtr entry =
+    aScope.dataCentre.empty()
+      ? choose(usable, aTried)
+      : choose(within(usable, aScope, aOrder.route.maxAttempts), aTried);
   if (!entry) {
     return nullptr;
   }
--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -57,6 +57,14 @@
   Extra, ///< hedge or retry
 };
 
+/// Servers among which an attempt may choose. A shard that two hosts may ask
+/// for one request has the same few servers at both, so that together they
+/// stay within the servers that may run it.
+struct ServerScope
+{
+  std::string dataCentre; ///< whose servers come first; empty: all servers
+};
+
 /// A request as all its attempts see it. Kept alive by the query.
 struct AttemptOrder
 {
@@ -124,6 +132,7 @@
                   const std::string& aService,
                   const std::vector<std::string>& aTried,
                   AttemptKind aKind,
+                  const ServerScope& aScope,
                   Done aDone);
   /// @returns data centres with a server of the service that may get work and
   ///          isn't known to fail
@@ -132,7 +141,7 @@
   const DispatcherCounters& counters() const { return m_counters; }
 
 private:
-  ServerEntryPtr choose(const std::string& aService,
+  ServerEntryPtr choose(const std::vector<ServerEntryPtr>& aServers,
                         const std::vector<std::string>& aTried);
   AttemptPtr sendTo(const AttemptOrder& aOrder,
                     const ServerEntryPtr& aEntry,
--- a/src/gather_query.cpp
+++ b/src/gather_query.cpp
@@ -81,7 +81,7 @@
       direct.insert(direct.end(), relayed.begin(), relayed.end());
     }
   }
-  m_fanOut->add(direct, AttemptKind::First);
+  m_fanOut->add(direct, AttemptKind::First, {});
 }
 
 /// @returns false when no peer can be asked
@@ -115,6 +115,7 @@
   if (number == 0) {
     return false;
   }
+  m_relays[number].dataCentre = aDataCentre;
   m_relays[number].asked = aShards;
   m_relayLateAt =
     now +
@@ -174,7 +175,7 @@
     }
   }
   m_taken += missing.size();
-  m_fanOut->add(missing, AttemptKind::Extra);
+  m_fanOut->add(missing, AttemptKind::Extra, { aRelay.dataCentre });
 }
 
 void
--- a/src/gather_query_p.h
+++ b/src/gather_query_p.h
@@ -35,6 +35,7 @@
   /// Shards that a peer asks.
   struct Relay
   {
+    std::string dataCentre; ///< of the peer
     std::vector<std::size_t> asked;
     std::vector<std::size_t> in;
     std::vector<std::string> signatures; ///< parallel to in
--- a/src/relay_worker.cpp
+++ b/src/relay_worker.cpp
@@ -67,7 +67,8 @@
           self->advance();
         }
       });
-    m_fanOut->add(m_shards, AttemptKind::First);
+    m_fanOut->add(
+      m_shards, AttemptKind::First, { m_worker.m_services.dataCentre });
     wakeAt(m_begun + (m_replyAt - m_begun) / kSignDivisor);
     advance();
   }
--- a/src/shard_fan_out.cpp
+++ b/src/shard_fan_out.cpp
@@ -41,11 +41,14 @@
 }
 
 void
-ShardFanOut::add(const std::vector<std::size_t>& aShards, AttemptKind aKind)
+ShardFanOut::add(const std::vector<std::size_t>& aShards,
+                 AttemptKind aKind,
+                 const ServerScope& aScope)
 {
   for (const std::size_t shard : aShards) {
     Part& part = m_parts[shard];
     part.kind = aKind;
+    part.scope = aScope;
     if (aKind == AttemptKind::First) {
       m_services.dispatcher.onRequest(m_order.route.shards[shard]);
     }
@@ -107,6 +110,7 @@
     m_order.route.shards[aShard],
     aPart.tried,
     aPart.kind,
+    aPart.scope,
     [self = shared_from_this(), aShard](AttemptResult aResult) {
       self->onResult(aShard, std::move(aResult));
     });
--- a/src/shard_fan_out_p.h
+++ b/src/shard_fan_out_p.h
@@ -30,7 +30,10 @@
 
   /// Asks shards.
   /// @param[in] aKind Extra when servers may have had the request already
-  void add(const std::vector<std::size_t>& aShards, AttemptKind aKind);
+  /// @param[in] aScope the same at all hosts that may ask these shards
+  void add(const std::vector<std::size_t>& aShards,
+           AttemptKind aKind,
+           const ServerScope& aScope);
   /// Gives up what runs; nothing is called any more.
   void cancel();
   /// Learns how fast the servers are, compared with each other on this query.
@@ -55,11 +58,12 @@
     std::vector<AttemptPtr> attempts;      ///< that run
     std::vector<std::string> tried;        ///< servers
     AttemptKind kind = AttemptKind::First; ///< of the next send
-    std::uint32_t ran = 0;                 ///< servers that may have run it
-    std::uint32_t sends = 0;               ///< attempts made
-    AttemptPtr winner;                     ///< that brought the part
-    TimePoint sentAt;                      ///< of the newest attempt
-    TimePoint retryAt; ///< when nothing runs and another try is due
+    ServerScope scope;
+    std::uint32_t ran = 0;   ///< servers that may have run it
+    std::uint32_t sends = 0; ///< attempts made
+    AttemptPtr winner;       ///< that brought the part
+    TimePoint sentAt;        ///< of the newest attempt
+    TimePoint retryAt;       ///< when nothing runs and another try is due
     bool in = false;
     bool given = false; ///< given up
     std::string body;
--- a/src/single_query.cpp
+++ b/src/single_query.cpp
@@ -63,6 +63,7 @@
     m_service,
     m_tried,
     m_sends == 0 ? AttemptKind::First : AttemptKind::Extra,
+    {},
     [self = shared_from_this()](AttemptResult aResult) {
       self->onResult(std::move(aResult));
     });
