Entry hosts: serve a large fleet from as many hosts as the load needs

Change: the directory names three hosts of each data centre, more when more queries run, by weighted rendezvous; peers, connection shares and budgets are divided among them; near servers get a connection before the first request. Introductions are rarer and shorter after the start.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -85,17 +85,17 @@
   auto found = m_budgets.find(aService);
   if (found == m_budgets.end()) {
     found = m_budgets.emplace(aService, SharedBudget(m_clock, m_limit)).first;
-    found->second.setHosts(m_hosts);
+    found->second.setSharers(m_sharers);
   }
   return found->second;
 }
 
 void
-Dispatcher::setHosts(std::size_t aHosts)
+Dispatcher::setSharers(std::size_t aSharers)
 {
-  m_hosts = aHosts;
+  m_sharers = aSharers;
   for (auto& entry : m_budgets) {
-    entry.second.setHosts(aHosts);
+    entry.second.setSharers(aSharers);
   }
 }
 
--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -137,7 +137,9 @@
   /// @returns data centres with a server of the service that may get work and
   ///          isn't known to fail
   std::set<std::string> centresOf(const std::string& aService) const;
-  void setHosts(std::size_t aHosts);
+  /// @param[in] aSharers hosts that divide the budgets, 0 when this one has no
+  ///            share
+  void setSharers(std::size_t aSharers);
   const DispatcherCounters& counters() const { return m_counters; }
 
 private:
@@ -154,7 +156,7 @@
   const TrafficProtocolI& m_protocol;
   ServerTable& m_servers;
   const BudgetLimit m_limit;
-  std::size_t m_hosts = 1;
+  std::size_t m_sharers = 0;
   std::map<std::string, SharedBudget> m_budgets; ///< by service
   DispatcherCounters m_counters;
 };
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -41,6 +41,7 @@
   host.address = aSettings.address;
   host.httpPort = aSettings.callerPort;
   host.peerPort = aSettings.peerPort;
+  host.capacity = aSettings.capacity;
   return host;
 }
 
@@ -51,13 +52,15 @@
                            const EntrySettings& aSettings,
                            std::uint64_t aIncarnation,
                            Adapter aAdapter,
-                           std::function<void(const TrafficView&)> aOnView)
+                           std::function<void(const TrafficView&)> aOnView,
+                           std::function<std::uint32_t()> aLoad)
   : m_context(aContext)
   , m_clock(aClock)
   , m_settings(aSettings)
   , m_incarnation(aIncarnation)
   , m_adapter(aAdapter)
   , m_onView(std::move(aOnView))
+  , m_load(std::move(aLoad))
   , m_socket(aContext)
   , m_broadcaster(aSettings.host, aIncarnation)
   , m_roster(aClock, aIncarnation, m_socket, selfOf(aSettings))
@@ -223,23 +226,26 @@
   return serving;
 }
 
-std::size_t
-EntryControl::liveHosts() const
+/// @returns the hosts that take callers' queries
+std::vector<Host>
+EntryControl::entryHosts() const
 {
-  std::size_t live = 1;
-  for (const Host& host : m_roster.list().hosts) {
-    live += host.name != m_settings.host && m_membership.isAlive(host.name);
+  EntryChoice choice;
+  choice.hosts = servingHosts();
+  choice.shardServers = m_shardServers;
+  choice.running = m_load();
+  const auto members = m_membership.makeSnapshot();
+  for (const auto& entry : members->loads) {
+    choice.running += entry.second;
   }
-  return live;
+  return chooseEntryHosts(choice);
 }
 
 HttpResponse
 EntryControl::addresses() const
 {
-  EntryChoice choice;
-  choice.hosts = servingHosts();
-  choice.shardServers = m_shardServers;
-  const std::vector<Host> chosen = chooseEntryHosts(choice, kMaxAddresses);
+  std::vector<Host> chosen = entryHosts();
+  chosen.resize(std::min(chosen.size(), kMaxAddresses));
   if (chosen.empty()) {
     return makeResponse(503, "no host is ready\n");
   }
@@ -341,9 +347,11 @@
   TrafficView view;
   view.routing = m_routing;
   view.catalogue = m_catalogue;
-  view.hosts = liveHosts();
-  for (Host& host : servingHosts()) {
-    if (host.name != m_settings.host) {
+  for (Host& host : entryHosts()) {
+    ++view.entryHosts;
+    if (host.name == m_settings.host) {
+      view.isEntry = true;
+    } else {
       view.peers.push_back(std::move(host));
     }
   }
@@ -370,7 +378,7 @@
 std::uint32_t
 EntryControl::load() const
 {
-  return 0;
+  return m_load();
 }
 
 void
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -44,12 +44,14 @@
   };
 
   /// @param[in] aOnView takes each new view, on the control thread
+  /// @param[in] aLoad returns the queries that run; any thread
   EntryControl(boost::asio::io_context& aContext,
                const ClockI& aClock,
                const EntrySettings& aSettings,
                std::uint64_t aIncarnation,
                Adapter aAdapter,
-               std::function<void(const TrafficView&)> aOnView);
+               std::function<void(const TrafficView&)> aOnView,
+               std::function<std::uint32_t()> aLoad);
 
   /// Binds the sockets and starts.
   /// @returns an error when an address can't be bound
@@ -80,7 +82,7 @@
   void takeRouting(const PublishedItem& aItem);
   void publish();
   std::vector<Host> servingHosts() const;
-  std::size_t liveHosts() const;
+  std::vector<Host> entryHosts() const;
   HttpResponse addresses() const;
   void fetchFrom(const std::string& aHost, const PeerAddress& aAddress);
   void onPeerRequest(const std::string& aPayload,
@@ -92,6 +94,7 @@
   const std::uint64_t m_incarnation;
   Adapter m_adapter;
   std::function<void(const TrafficView&)> m_onView;
+  std::function<std::uint32_t()> m_load;
   GossipSocket m_socket;
   Broadcaster m_broadcaster;
   Roster m_roster;
--- a/src/entry_hosts_p.h
+++ b/src/entry_hosts_p.h
@@ -1,7 +1,9 @@
 #ifndef TOUCANRIDGE_ENTRY_HOSTS_P_H
 #define TOUCANRIDGE_ENTRY_HOSTS_P_H
 
-/// Chooses the hosts whose addresses callers are given.
+/// Chooses the hosts that take callers' queries. A query opens connections to
+/// many servers, which allow few: a large fleet serves from as many hosts as
+/// its load needs, and the others stand by.
 
 #include <cstddef>
 #include <map>
@@ -18,12 +20,15 @@
   std::vector<Host> hosts; ///< alive, serving and not leaving
   /// Servers of sharded services in each data centre.
   std::map<std::string, std::size_t> shardServers;
+  std::size_t running = 0; ///< queries that run on all hosts
 };
 
-/// @param[in] aMost addresses in an answer
-/// @returns hosts to name, most useful first; empty when none is alive
+/// Every host comes to the same choice from the same knowledge, and the loss of
+/// a host changes it by one.
+/// @returns hosts that callers are told, of each data centre in turn; empty
+///          when none is alive
 std::vector<Host>
-chooseEntryHosts(const EntryChoice& aChoice, std::size_t aMost);
+chooseEntryHosts(const EntryChoice& aChoice);
 
 } // namespace toucanridge
 
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -50,15 +50,17 @@
               aClock,
               aAdapter.traffic,
               trafficSettings(aSettings, newIncarnation()))
-  , m_control(m_controlContext,
-              aClock,
-              aSettings,
-              newIncarnation(),
-              { *m_source, aAdapter.decoder, aAdapter.directory },
-              [this](const TrafficView& aView) {
-                boost::asio::post(m_trafficContext,
-                                  [this, aView] { m_traffic.setView(aView); });
-              })
+  , m_control(
+      m_controlContext,
+      aClock,
+      aSettings,
+      newIncarnation(),
+      { *m_source, aAdapter.decoder, aAdapter.directory },
+      [this](const TrafficView& aView) {
+        boost::asio::post(m_trafficContext,
+                          [this, aView] { m_traffic.setView(aView); });
+      },
+      [this] { return m_traffic.load(); })
   , m_trafficWork(m_trafficContext.get_executor())
 {
 }
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -423,6 +423,24 @@
   return nullptr;
 }
 
+HttpPool::ConnectionPtr
+HttpPool::open()
+{
+  auto connection = std::make_shared<HttpConnection>(shared_from_this());
+  m_connections.push_back(connection);
+  ++m_opened;
+  connection->connect(m_endpoint);
+  return connection;
+}
+
+void
+HttpPool::warm()
+{
+  if (m_connections.empty() && !m_retired) {
+    open();
+  }
+}
+
 void
 HttpPool::dispatch()
 {
@@ -437,10 +455,7 @@
           std::max<std::size_t>(1, m_settings.connections)) {
         break;
       }
-      connection = std::make_shared<HttpConnection>(shared_from_this());
-      m_connections.push_back(connection);
-      ++m_opened;
-      connection->connect(m_endpoint);
+      connection = open();
     }
     const TicketPtr ticket = m_queue.front();
     m_queue.pop_front();
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -97,6 +97,9 @@
   HttpTicketPtr send(HttpCall aCall, Done aDone);
 
   void setConnections(std::size_t aLimit) { m_settings.connections = aLimit; }
+  /// Opens a connection when there is none, so that the first request needn't
+  /// wait for one.
+  void warm();
   /// Closes idle connections; those in use close when they are done.
   void retire();
   /// @returns connections that exist, and requests that wait for one
@@ -111,6 +114,7 @@
   using ConnectionPtr = std::shared_ptr<HttpConnection>;
 
   void dispatch();
+  ConnectionPtr open();
   ConnectionPtr takeIdle();
   void onFree(const ConnectionPtr& aConnection);
   void onClosed(const ConnectionPtr& aConnection);
--- a/src/roster.cpp
+++ b/src/roster.cpp
@@ -12,12 +12,14 @@
 /// A starting host introduces itself often, so that traffic finds the fleet.
 constexpr milliseconds kStartingEvery{ 150 };
 constexpr std::chrono::seconds kStartingTime{ 3 };
-constexpr milliseconds kEvery{ 1000 };
+constexpr milliseconds kEvery{ 3000 };
 /// Each introduction goes to a seed in one of this many turns; the others go
 /// to known hosts. Seeds may be stale, or the only way to another part.
 constexpr std::size_t kSeedTurns = 3;
 /// Hosts in one datagram; each takes about 60 of its 1,200 bytes.
 constexpr std::size_t kHostsInDatagram = 14;
+/// Later on, introductions only repair what was lost: gossip tells who lives.
+constexpr std::size_t kHostsLater = 4;
 
 /// What hosts tell each other of themselves and others.
 struct Introduction
@@ -37,7 +39,7 @@
       wireShortText(aArchive, host.name);
       wireShortText(aArchive, host.dataCentre);
       wireShortText(aArchive, host.address);
-      aArchive(host.httpPort, host.peerPort);
+      aArchive(host.httpPort, host.peerPort, host.capacity);
     }
   }
 };
@@ -47,7 +49,7 @@
 {
   return aOne.dataCentre == aOther.dataCentre &&
          aOne.address == aOther.address && aOne.httpPort == aOther.httpPort &&
-         aOne.peerPort == aOther.peerPort;
+         aOne.peerPort == aOther.peerPort && aOne.capacity == aOther.capacity;
 }
 
 } // namespace
@@ -130,8 +132,10 @@
     }
   }
   std::shuffle(others.begin(), others.end(), m_random);
+  const bool starting = now - m_started < kStartingTime;
+  const std::size_t most = starting || !aAsk ? kHostsInDatagram : kHostsLater;
   for (const Host* host : others) {
-    if (message.hosts.size() >= kHostsInDatagram) {
+    if (message.hosts.size() >= most) {
       break;
     }
     message.hosts.push_back(*host);
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -35,12 +35,15 @@
 ServerTable::connectionShare(const RoutingTable& aRouting,
                              const std::string& aService) const
 {
+  if (m_sharers == 0) {
+    return kMinConnections;
+  }
   const ServiceContract* contract = aRouting.service(aService);
   const double most = contract != nullptr ? contract->maxConnections
                                           : ServiceContract().maxConnections;
   return std::max(kMinConnections,
                   static_cast<std::size_t>(most * kSharedConnections /
-                                           static_cast<double>(m_hosts)));
+                                           static_cast<double>(m_sharers)));
 }
 
 void
@@ -84,10 +87,13 @@
     const ServiceContract* contract = aRouting.service(published.service);
     entry->pool->setConnections(connectionShare(aRouting, published.service));
     entry->cold.setRate(contract != nullptr ? contract->coldPerSecond : 0.0,
-                        m_hosts);
+                        std::max<std::size_t>(1, m_sharers));
     if (!published.draining &&
         aCatalogue.evacuated.count(published.dataCentre) == 0) {
       m_usable[published.service].push_back(entry);
+      if (m_sharers > 0 && isNear(published)) {
+        entry->pool->warm();
+      }
     }
   }
   for (const auto& [id, entry] : m_servers) {
@@ -100,12 +106,6 @@
   m_servers = std::move(servers);
 }
 
-void
-ServerTable::setHosts(std::size_t aHosts)
-{
-  m_hosts = std::max<std::size_t>(1, aHosts);
-}
-
 const std::vector<ServerEntryPtr>&
 ServerTable::usable(const std::string& aService) const
 {
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -42,8 +42,9 @@
 
   /// Takes the published servers; keeps what is known of those that stay.
   void update(const ServerCatalogue& aCatalogue, const RoutingTable& aRouting);
-  /// @param[in] aHosts hosts among which connections and limits are shared
-  void setHosts(std::size_t aHosts);
+  /// @param[in] aSharers hosts that divide the servers' connections and limits,
+  ///            0 when this one has no share
+  void setSharers(std::size_t aSharers) { m_sharers = aSharers; }
 
   /// @returns servers of a service that may get new work
   const std::vector<ServerEntryPtr>& usable(const std::string& aService) const;
@@ -62,7 +63,7 @@
   boost::asio::io_context& m_context;
   const ClockI& m_clock;
   const std::string m_dataCentre;
-  std::size_t m_hosts = 1;
+  std::size_t m_sharers = 0;
   std::map<std::string, ServerEntryPtr> m_servers; ///< by id
   std::map<std::string, std::vector<ServerEntryPtr>> m_usable;
   std::vector<ServerEntryPtr> m_none;
--- a/src/shared_budget.cpp
+++ b/src/shared_budget.cpp
@@ -22,32 +22,37 @@
 }
 
 void
-SharedBudget::setHosts(std::size_t aHosts)
+SharedBudget::setSharers(std::size_t aSharers)
 {
   refill();
-  m_hosts = static_cast<double>(std::max<std::size_t>(1, aHosts));
+  m_share = aSharers == 0
+              ? 0.0
+              : kUsable * m_limit.slack / static_cast<double>(aSharers);
+}
+
+/// @returns tokens in a full bucket
+double
+SharedBudget::most() const
+{
+  return std::max(1.0, m_share * kBurst);
 }
 
 void
 SharedBudget::refill()
 {
   const TimePoint now = m_clock.now();
-  const double share = kUsable * m_limit.slack / m_hosts;
   const double windows =
     std::chrono::duration<double>(now - m_refilled).count() /
     std::chrono::duration<double>(m_limit.window).count();
   m_refilled = now;
-  m_tokens = std::min(m_tokens + share * (1.0 - kBurst) * windows,
-                      std::max(1.0, share * kBurst));
+  m_tokens = std::min(m_tokens + m_share * (1.0 - kBurst) * windows, most());
 }
 
 void
 SharedBudget::onRequest()
 {
   refill();
-  const double share = kUsable * m_limit.slack / m_hosts;
-  m_tokens =
-    std::min(m_tokens + kUsable * m_limit.ratio, std::max(1.0, share * kBurst));
+  m_tokens = std::min(m_tokens + kUsable * m_limit.ratio, most());
 }
 
 bool
--- a/src/shared_budget_p.h
+++ b/src/shared_budget_p.h
@@ -27,8 +27,9 @@
 public:
   SharedBudget(const ClockI& aClock, const BudgetLimit& aLimit);
 
-  /// @param[in] aHosts hosts that share the limit, at least 1
-  void setHosts(std::size_t aHosts);
+  /// @param[in] aSharers hosts that divide the slack, 0 when this host has no
+  ///            share of it and lives on its requests alone
+  void setSharers(std::size_t aSharers);
   /// A request for the service arrived at this host.
   void onRequest();
   /// Spends a token for an extra attempt.
@@ -37,10 +38,11 @@
 
 private:
   void refill();
+  double most() const;
 
   const ClockI& m_clock;
   BudgetLimit m_limit;
-  double m_hosts = 1.0;
+  double m_share = 0.0; ///< of the slack
   double m_tokens = 0.0;
   TimePoint m_refilled;
 };
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -78,8 +78,10 @@
 {
   const bool routingChanged = aView.routing != m_view.routing;
   m_view = aView;
-  m_servers.setHosts(aView.hosts);
-  m_dispatcher.setHosts(aView.hosts);
+  // A host that stands by has no share of what the entry hosts divide.
+  const std::size_t sharers = aView.isEntry ? aView.entryHosts : 0;
+  m_servers.setSharers(sharers);
+  m_dispatcher.setSharers(sharers);
   m_relays.setPeers(aView.peers);
   if (!m_view.routing) {
     return;
@@ -144,6 +146,7 @@
 Traffic::onRequest(const HttpExchangePtr& aExchange)
 {
   const HttpRequest& request = aExchange->request();
+  m_load = static_cast<std::uint32_t>(m_server.running());
   if (!m_view.routing || !m_view.catalogue) {
     aExchange->reply(
       m_protocol.makeRefusal(kRetryAfter, "no configuration yet"));
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -4,6 +4,7 @@
 /// The traffic thread's part of a host that serves published routes: takes
 /// callers' requests, finds the route, runs the query.
 
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -31,8 +32,9 @@
 {
   std::shared_ptr<const RoutingTable> routing;      ///< may be null
   std::shared_ptr<const ServerCatalogue> catalogue; ///< may be null
-  std::size_t hosts = 1;   ///< live hosts, this one included
-  std::vector<Host> peers; ///< other hosts that serve
+  std::size_t entryHosts = 0; ///< hosts that take callers' queries
+  bool isEntry = false;       ///< this host is one of them
+  std::vector<Host> peers;    ///< the others
 };
 
 struct TrafficSettings
@@ -66,6 +68,8 @@
     return m_server.running() + m_worker.running();
   }
   void shutdown();
+  /// @returns callers' queries that run; any thread
+  std::uint32_t load() const { return m_load; }
   const Dispatcher& dispatcher() const { return m_dispatcher; }
   const ServerTable& servers() const { return m_servers; }
 
@@ -97,6 +101,7 @@
   /// Newest last; a peer may be a few versions behind or ahead.
   std::deque<std::shared_ptr<const RoutingTable>> m_versions;
   TrafficView m_view;
+  std::atomic<std::uint32_t> m_load{ 0 };
   std::map<std::string, RouteState> m_routes; ///< by name
 };
 
--- a/src/view_p.h
+++ b/src/view_p.h
@@ -27,6 +27,7 @@
   std::uint16_t httpPort = 0;
   std::uint16_t peerPort = 0; ///< TCP and UDP
   HostState state = HostState::Live;
+  std::uint32_t capacity = 1000; ///< thousandths of a core
 };
 
 /// The published host list.
