Readers: three hosts read the platform, the others follow

Change: three hosts by rendezvous read, more when the platform doesn't answer them; three probes in four stay in the data centre.

--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -4,6 +4,7 @@
 
 #include "entry_hosts_p.h"
 #include "log_p.h"
+#include "reader_choice_p.h"
 
 namespace toucanridge {
 namespace {
@@ -15,8 +16,14 @@
 /// gone out of use sooner; each answer costs a connection.
 constexpr milliseconds kAddressValidity{ 2000 };
 constexpr std::size_t kMaxAddresses = 64;
-/// A peer that is ahead is asked this long after it is known: the platform's
-/// own word usually arrives first.
+/// A starting host looks for peers this long before it reads the platform: most
+/// starts find a fleet that has everything.
+constexpr milliseconds kJoinTime{ 400 };
+/// Members that a reader tells of a change at once, and those that others tell.
+constexpr std::size_t kReaderFanOut = 8;
+constexpr std::size_t kFollowerFanOut = 2;
+/// A peer that is ahead of a reader is asked this long after it is known: the
+/// platform's own word usually arrives first.
 constexpr milliseconds kFetchDelay{ 250 };
 constexpr milliseconds kFetchTimeout{ 1000 };
 
@@ -29,6 +36,7 @@
   settings.probeEvery = milliseconds(500);
   settings.directTimeout = milliseconds(150);
   settings.probeTimeout = milliseconds(600);
+  settings.remoteEvery = 4;
   return settings;
 }
 
@@ -80,6 +88,7 @@
                 aClock,
                 [this](const HttpExchangePtr& aExchange) { onHttp(aExchange); })
   , m_timer(aContext)
+  , m_started(aClock.now())
   , m_keeper(aClock)
 {
   m_roster.setSeeds(aSettings.seeds);
@@ -118,6 +127,7 @@
       if (changes) {
         takeItems(*changes, aHost.c_str());
         m_adapter.source.skipTo(m_items.revision());
+        m_fetchAt = TimePoint();
       }
     };
     handlers.onLost = [this](const std::string& aHost,
@@ -170,6 +180,7 @@
 void
 EntryControl::tickLater()
 {
+  chooseRole();
   m_roster.tick();
   if (m_roster.takeChanged()) {
     m_membership.setHosts(m_roster.list());
@@ -187,6 +198,27 @@
   });
 }
 
+/// Reads the platform itself or follows its peers.
+void
+EntryControl::chooseRole()
+{
+  std::vector<ReaderCandidate> candidates;
+  for (const Host& host : m_roster.list().hosts) {
+    const auto trouble = m_peersInTrouble.find(host.name);
+    if (host.name != m_settings.host && m_membership.isAlive(host.name)) {
+      candidates.push_back(
+        { host.name, trouble != m_peersInTrouble.end() && trouble->second });
+    }
+  }
+  const bool joining = m_clock.now() - m_started < kJoinTime;
+  const bool reading = !joining && isReader(candidates, m_settings.host);
+  if (reading != m_reading) {
+    m_reading = reading;
+    logWrite(LogLevel::Info, LogLine("reader-role").add("reads", reading));
+  }
+  m_adapter.source.setReading(reading);
+}
+
 bool
 EntryControl::isReady() const
 {
@@ -303,7 +335,7 @@
              .add("keys", changed.size())
              .add("source", aSource));
   publish();
-  m_membership.announce();
+  m_membership.announce(m_reading ? kReaderFanOut : kFollowerFanOut);
 }
 
 void
@@ -372,6 +404,7 @@
 {
   ConfigDigest digest;
   digest.rules = m_routing ? m_items.revision() : 0;
+  digest.hosts = m_reading && m_adapter.source.inTrouble() ? 1 : 0;
   return digest;
 }
 
@@ -389,6 +422,7 @@
   std::uint64_t& known = m_peerRevisions[aHost];
   m_peersChanged |= (known == 0) != (aDigest.rules == 0);
   known = aDigest.rules;
+  m_peersInTrouble[aHost] = aDigest.hosts != 0;
   m_roster.onHeard(aHost);
   if (aDigest.rules > m_items.revision()) {
     fetchFrom(aHost, aAddress);
@@ -399,15 +433,15 @@
 EntryControl::fetchFrom(const std::string& aHost, const PeerAddress& aAddress)
 {
   const TimePoint now = m_clock.now();
-  const bool starting = m_items.revision() == 0;
-  if (m_fetchAt == TimePoint() && !starting) {
+  const bool waits = m_reading && m_items.revision() != 0;
+  if (m_fetchAt == TimePoint() && waits) {
     m_fetchAt = now + kFetchDelay;
     return;
   }
   if (now < m_fetchAt) {
     return;
   }
-  if (!starting && now - m_fetchAt > kFetchTimeout) {
+  if (waits && now - m_fetchAt > kFetchTimeout) {
     // The mark is from an earlier change.
     m_fetchAt = now + kFetchDelay;
     return;
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -76,6 +76,7 @@
 
 private:
   void tickLater();
+  void chooseRole();
   void onHttp(const HttpExchangePtr& aExchange);
   bool isReady() const;
   void takeItems(const ItemChanges& aChanges, const char* aSource);
@@ -103,6 +104,9 @@
   HttpServer m_directory;
   HttpServer m_readiness;
   boost::asio::steady_timer m_timer;
+  const TimePoint m_started;
+  bool m_reading = false; ///< this host reads the platform
+  std::map<std::string, bool> m_peersInTrouble; ///< readers without an answer
 
   PublishedItems m_items;
   CatalogueKeeper m_keeper;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -15,7 +15,7 @@
 
 /// Suspicions run for seconds; a finer check would only cost time.
 constexpr milliseconds kSuspectCheckEvery{ 250 };
-constexpr std::size_t kAnnounceFanOut = 8;
+constexpr std::size_t kLeaveFanOut = 8;
 /// Suspects that are probed once more in a second. When a partition makes
 /// hundreds of suspects at once, the limit keeps the traffic constant.
 constexpr std::uint32_t kMaxConfirmsASecond = 4;
@@ -186,11 +186,11 @@
   m_leaving = true;
   m_changed = true;
   enqueue(selfUpdate());
-  announce();
+  announce(kLeaveFanOut);
 }
 
 void
-Membership::announce()
+Membership::announce(std::size_t aMembers)
 {
   std::vector<const Member*> targets;
   for (const auto& entry : m_members) {
@@ -199,7 +199,7 @@
     }
   }
   std::shuffle(targets.begin(), targets.end(), m_random);
-  targets.resize(std::min(targets.size(), kAnnounceFanOut));
+  targets.resize(std::min(targets.size(), aMembers));
   for (const Member* member : targets) {
     startProbe(*member, false);
   }
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -54,6 +54,10 @@
   /// the probes fail with one round and 0.2% with two; at 560 nodes even that
   /// made more suspicions than updates can refute in time.
   std::uint32_t rounds = 3;
+  /// One probe in this many goes to any data centre, the others stay in the
+  /// own one when it has at least kMinNeighbours other hosts: bytes between
+  /// data centres cost more.
+  std::uint32_t remoteEvery = 1;
   /// Probe period of a starting node, which waits for its peers' revisions.
   std::chrono::milliseconds joinProbeEvery{ 100 };
 };
@@ -116,7 +120,7 @@
   /// Announces that this host leaves.
   void leave();
   /// Probes some members at once, to spread what this host has just learnt.
-  void announce();
+  void announce(std::size_t aMembers);
 
   bool isAlive(const std::string& aHost) const;
   /// @returns the state of a listed host; Dead for any other
@@ -133,6 +137,8 @@
   /// A node whose last probes all failed has most likely lost its own network;
   /// it then keeps its suspicions to itself.
   static constexpr std::uint32_t kIsolatedAfter = 3;
+  /// With fewer hosts in the data centre, those of others watch over them too.
+  static constexpr std::size_t kMinNeighbours = 4;
 
   struct Member
   {
--- a/src/membership_probe.cpp
+++ b/src/membership_probe.cpp
@@ -91,7 +91,9 @@
     }
   }
   if (member == nullptr) {
-    member = advance(m_all, false);
+    const bool near = m_round % m_settings.remoteEvery != 0 &&
+                      m_neighbours.hosts.size() >= kMinNeighbours;
+    member = advance(near ? m_neighbours : m_all, false);
   }
   if (member != nullptr) {
     startProbe(*member, false);
--- a/src/published_source_p.h
+++ b/src/published_source_p.h
@@ -36,10 +36,8 @@
   virtual void setReading(bool aReading) = 0;
   /// A peer's copy brought this host to a revision.
   virtual void skipTo(std::uint64_t aRevision) = 0;
-  /// @returns time since the platform last answered
-  virtual Duration silence() const = 0;
-  /// @returns calls made since the start
-  virtual std::uint64_t calls() const = 0;
+  /// @returns true when the last call had no answer or was refused
+  virtual bool inTrouble() const = 0;
 };
 
 /// What an item means.
