--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -18,13 +18,15 @@
 constexpr std::size_t kMaxAddresses = 64;
 /// A starting host looks for peers this long before it reads the platform: most
 /// starts find a fleet that has everything.
-constexpr milliseconds kJoinTime{ 400 };
-/// Members that a reader tells of a change at once, and those that others tell.
+constexpr milliseconds kJoinTime{ 200 };
+/// Members of the data centre that a reader tells of a change at once, and
+/// those that others tell.
 constexpr std::size_t kReaderFanOut = 8;
 constexpr std::size_t kFollowerFanOut = 2;
-/// A peer that is ahead of a reader is asked this long after it is known: the
-/// platform's own word usually arrives first.
-constexpr milliseconds kFetchDelay{ 250 };
+/// A peer that is ahead is asked this long after it is known, unless this host
+/// follows and the peer is in its data centre: the platform's own word, or that
+/// of a near peer, usually arrives first.
+constexpr milliseconds kFetchDelay{ 200 };
 constexpr milliseconds kFetchTimeout{ 1000 };
 
 /// Hosts that don't answer are left out of the directory after a second; a
@@ -205,7 +207,9 @@
   std::vector<ReaderCandidate> candidates;
   for (const Host& host : m_roster.list().hosts) {
     const auto trouble = m_peersInTrouble.find(host.name);
-    if (host.name != m_settings.host && m_membership.isAlive(host.name)) {
+    if (host.name != m_settings.host &&
+        host.dataCentre == m_settings.dataCentre &&
+        m_membership.isAlive(host.name)) {
       candidates.push_back(
         { host.name, trouble != m_peersInTrouble.end() && trouble->second });
     }
@@ -335,7 +339,7 @@
              .add("keys", changed.size())
              .add("source", aSource));
   publish();
-  m_membership.announce(m_reading ? kReaderFanOut : kFollowerFanOut);
+  m_membership.announce(m_reading ? kReaderFanOut : kFollowerFanOut, true);
 }
 
 void
@@ -433,7 +437,8 @@
 EntryControl::fetchFrom(const std::string& aHost, const PeerAddress& aAddress)
 {
   const TimePoint now = m_clock.now();
-  const bool waits = m_reading && m_items.revision() != 0;
+  const bool waits =
+    m_items.revision() != 0 && (m_reading || !m_roster.isNear(aHost));
   if (m_fetchAt == TimePoint() && waits) {
     m_fetchAt = now + kFetchDelay;
     return;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -186,15 +186,16 @@
   m_leaving = true;
   m_changed = true;
   enqueue(selfUpdate());
-  announce(kLeaveFanOut);
+  announce(kLeaveFanOut, false);
 }
 
 void
-Membership::announce(std::size_t aMembers)
+Membership::announce(std::size_t aMembers, bool aNear)
 {
   std::vector<const Member*> targets;
   for (const auto& entry : m_members) {
-    if (entry.second.state == MemberState::Alive) {
+    if (entry.second.state == MemberState::Alive &&
+        (!aNear || entry.second.host.dataCentre == m_dataCentre)) {
       targets.push_back(&entry.second);
     }
   }
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -120,7 +120,8 @@
   /// Announces that this host leaves.
   void leave();
   /// Probes some members at once, to spread what this host has just learnt.
-  void announce(std::size_t aMembers);
+  /// @param[in] aNear only members of the own data centre
+  void announce(std::size_t aMembers, bool aNear);
 
   bool isAlive(const std::string& aHost) const;
   /// @returns the state of a listed host; Dead for any other
--- a/src/reader_choice.cpp
+++ b/src/reader_choice.cpp
@@ -7,9 +7,10 @@
 namespace toucanridge {
 namespace {
 
-/// With three, a reader that is cut off without an error delays no change.
-constexpr std::size_t kReaders = 3;
-constexpr std::size_t kMoreInTrouble = 4;
+/// Readers of a data centre. When one is cut off without an error, word of a
+/// change still comes from the readers of other data centres.
+constexpr std::size_t kReaders = 1;
+constexpr std::size_t kMoreInTrouble = 2;
 constexpr std::uint64_t kReaderSeed = 0x72656164;
 
 std::uint64_t
--- a/src/reader_choice_p.h
+++ b/src/reader_choice_p.h
@@ -15,10 +15,10 @@
   bool inTrouble = false; ///< it reads, and the platform doesn't answer it
 };
 
-/// A few hosts read, however large the fleet. For each of them that the
-/// platform doesn't answer another one reads as well, up to a limit: a call
-/// costs the same when it is refused.
-/// @param[in] aCandidates all hosts believed alive
+/// One host of a data centre reads, however many there are. For each of them
+/// that the platform doesn't answer another one reads as well, up to a limit: a
+/// call costs the same when it is refused.
+/// @param[in] aCandidates hosts of the data centre that are believed alive
 /// @returns true when the host should read
 bool
 isReader(const std::vector<ReaderCandidate>& aCandidates,
--- a/src/roster.cpp
+++ b/src/roster.cpp
@@ -101,6 +101,13 @@
   }
   const bool starting = now - m_started < kStartingTime;
   m_next = now + (starting ? kStartingEvery : kEvery);
+  if (m_turn == 0) {
+    ++m_turn;
+    for (const PeerAddress& seed : m_seeds) {
+      introduce(seed, true);
+    }
+    return;
+  }
   const bool toSeed = m_hosts.empty() || m_turn++ % kSeedTurns == 0;
   if (toSeed && !m_seeds.empty()) {
     auto pick =
@@ -201,6 +208,14 @@
   }
 }
 
+bool
+Roster::isNear(const std::string& aHost) const
+{
+  const auto found = m_hosts.find(aHost);
+  return found != m_hosts.end() &&
+         found->second.host.dataCentre == m_self.dataCentre;
+}
+
 bool
 Roster::takeChanged()
 {
--- a/src/roster_p.h
+++ b/src/roster_p.h
@@ -43,6 +43,8 @@
   /// A host answered a probe.
   void onHeard(const std::string& aHost);
 
+  /// @returns true when the host is known to be in this one's data centre
+  bool isNear(const std::string& aHost) const;
   /// @returns true when the hosts changed since the last call
   bool takeChanged();
   /// @returns all known hosts, this one included
