Entry hosts: two of each data centre, believed to serve without direct word

Cause: a host counted as serving only once it was heard directly; with word staying in the data centre most hosts of others never were, each host named other entry hosts, and load spread over cold connections. Change: a live host that is known for 2 s serves unless it said otherwise; two hosts a data centre; connections that servers closed are opened again.

--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -16,9 +16,13 @@
 /// gone out of use sooner; each answer costs a connection.
 constexpr milliseconds kAddressValidity{ 2000 };
 constexpr std::size_t kMaxAddresses = 64;
+/// Load and time change the entry hosts without an event.
+constexpr milliseconds kPublishEvery{ 1000 };
 /// A starting host looks for peers this long before it reads the platform: most
 /// starts find a fleet that has everything.
 constexpr milliseconds kJoinTime{ 200 };
+/// Within this time a start has found the fleet and its configuration.
+constexpr milliseconds kStartTime{ 2000 };
 /// Members of the data centre that a reader tells of a change at once, and
 /// those that others tell.
 constexpr std::size_t kReaderFanOut = 8;
@@ -189,7 +193,9 @@
   }
   m_membership.tick();
   m_keeper.tick();
-  if (m_keeper.isChanged() || m_peersChanged || m_membership.takeChanged()) {
+  const bool due = m_clock.now() >= m_nextPublish;
+  if (m_keeper.isChanged() || m_peersChanged || m_membership.takeChanged() ||
+      due) {
     publish();
   }
   m_timer.expires_after(kTick);
@@ -243,19 +249,29 @@
   }
 }
 
-/// @returns hosts that are believed alive and hold a configuration
+/// @returns true when a peer is believed to answer callers
+bool
+EntryControl::serves(const std::string& aHost) const
+{
+  if (!m_membership.isAlive(aHost)) {
+    return false;
+  }
+  // In a large fleet a host hears from most others seldom. One that has been
+  // there for a while has its configuration.
+  const auto heard = m_peerRevisions.find(aHost);
+  return heard != m_peerRevisions.end()
+           ? heard->second > 0
+           : m_roster.knownFor(aHost) >= Duration(kStartTime);
+}
+
+/// @returns hosts that are believed to answer callers
 std::vector<Host>
 EntryControl::servingHosts() const
 {
   std::vector<Host> serving;
   for (Host& host : m_roster.list().hosts) {
     const bool self = host.name == m_settings.host;
-    const auto revision = m_peerRevisions.find(host.name);
-    const bool serves = self ? isReady()
-                             : m_membership.isAlive(host.name) &&
-                                 revision != m_peerRevisions.end() &&
-                                 revision->second > 0;
-    if (serves) {
+    if (self ? isReady() : serves(host.name)) {
       serving.push_back(std::move(host));
     }
   }
@@ -380,6 +396,7 @@
     }
   }
   m_peersChanged = false;
+  m_nextPublish = m_clock.now() + kPublishEvery;
   TrafficView view;
   view.routing = m_routing;
   view.catalogue = m_catalogue;
--- a/src/entry_hosts.cpp
+++ b/src/entry_hosts.cpp
@@ -1,16 +1,15 @@
 #include "entry_hosts_p.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include <xxhash.h>
 
 namespace toucanridge {
 namespace {
 
-/// Hosts of a data centre that serve however small the load: with fewer, the
-/// loss of one would cost its data centre half of its hosts.
-constexpr std::size_t kMinInCentre = 3;
+/// Hosts of a data centre that serve however small the load: with one, its
+/// loss would leave its data centre without.
+constexpr std::size_t kMinInCentre = 2;
 /// Queries that run on a host at once before more hosts are used. A host spends
 /// most of a query waiting.
 constexpr std::size_t kRunningOnHost = 30;
@@ -18,17 +17,16 @@
 /// fewer, the loss of one would move too much load at once.
 constexpr std::size_t kMinNearHosts = 3;
 
-/// Weighted rendezvous hashing: the host with the lowest value is used first,
-/// a host with twice the capacity twice as often.
-double
-rankOf(const Host& aHost)
+/// The largest hosts come first: a query's fan-out is a burst of work, and on a
+/// small share of a core its last part is late.
+bool
+isBefore(const Host& aOne, const Host& aOther)
 {
-  constexpr double kRange = 18446744073709551616.0; // 2^64
-  const double uniform =
-    (static_cast<double>(XXH3_64bits(aHost.name.data(), aHost.name.size())) +
-     1.0) /
-    (kRange + 1.0);
-  return -std::log(uniform) / std::max<std::uint32_t>(1, aHost.capacity);
+  const auto rank = [](const Host& aHost) {
+    return XXH3_64bits(aHost.name.data(), aHost.name.size());
+  };
+  return aOne.capacity != aOther.capacity ? aOne.capacity > aOther.capacity
+                                          : rank(aOne) < rank(aOther);
 }
 
 } // namespace
@@ -59,10 +57,7 @@
   std::vector<Host> chosen;
   for (auto& entry : centres) {
     std::vector<Host>& hosts = entry.second;
-    std::sort(
-      hosts.begin(), hosts.end(), [](const Host& aOne, const Host& aTwo) {
-        return rankOf(aOne) < rankOf(aTwo);
-      });
+    std::sort(hosts.begin(), hosts.end(), isBefore);
     hosts.resize(std::min(hosts.size(), inCentre));
     chosen.insert(chosen.end(), hosts.begin(), hosts.end());
   }
--- a/src/roster.cpp
+++ b/src/roster.cpp
@@ -180,7 +180,7 @@
   }
   const auto found = m_hosts.find(aHost.name);
   if (found == m_hosts.end()) {
-    m_hosts[aHost.name] = { aHost, aHeard };
+    m_hosts[aHost.name] = { aHost, aHeard, m_clock.now() };
     m_changed = true;
     logWrite(LogLevel::Info,
              LogLine("host-found")
@@ -216,6 +216,14 @@
          found->second.host.dataCentre == m_self.dataCentre;
 }
 
+Duration
+Roster::knownFor(const std::string& aHost) const
+{
+  const auto found = m_hosts.find(aHost);
+  return found == m_hosts.end() ? Duration(0)
+                                : m_clock.now() - found->second.since;
+}
+
 bool
 Roster::takeChanged()
 {
--- a/src/roster_p.h
+++ b/src/roster_p.h
@@ -45,6 +45,8 @@
 
   /// @returns true when the host is known to be in this one's data centre
   bool isNear(const std::string& aHost) const;
+  /// @returns time since the host was first heard of, zero when it isn't known
+  Duration knownFor(const std::string& aHost) const;
   /// @returns true when the hosts changed since the last call
   bool takeChanged();
   /// @returns all known hosts, this one included
@@ -56,6 +58,7 @@
   {
     Host host;
     TimePoint heard;
+    TimePoint since;
   };
 
   void introduce(const PeerAddress& aTo, bool aAsk);
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -91,9 +91,6 @@
     if (!published.draining &&
         aCatalogue.evacuated.count(published.dataCentre) == 0) {
       m_usable[published.service].push_back(entry);
-      if (m_sharers > 0 && isNear(published)) {
-        entry->pool->warm();
-      }
     }
   }
   for (const auto& [id, entry] : m_servers) {
@@ -106,6 +103,22 @@
   m_servers = std::move(servers);
 }
 
+void
+ServerTable::warm()
+{
+  if (m_sharers == 0) {
+    return;
+  }
+  const TimePoint now = m_clock.now();
+  for (const auto& service : m_usable) {
+    for (const ServerEntryPtr& entry : service.second) {
+      if (isNear(entry->server) && !entry->health.isAvoided(now)) {
+        entry->pool->warm();
+      }
+    }
+  }
+}
+
 const std::vector<ServerEntryPtr>&
 ServerTable::usable(const std::string& aService) const
 {
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -46,6 +46,9 @@
   ///            0 when this one has no share
   void setSharers(std::size_t aSharers) { m_sharers = aSharers; }
 
+  /// Opens a connection to each near server that has none, when this host has a
+  /// share. Servers close connections that are idle.
+  void warm();
   /// @returns servers of a service that may get new work
   const std::vector<ServerEntryPtr>& usable(const std::string& aService) const;
   bool isNear(const BackendServer& aServer) const
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -10,6 +10,8 @@
 /// Configurations kept for peers' queries: in a storm of changes a query runs
 /// for as long as a few versions last.
 constexpr std::size_t kVersionsKept = 8;
+/// How often connections that servers closed are opened again.
+constexpr std::chrono::milliseconds kWarmEvery{ 1000 };
 
 } // namespace
 
@@ -30,9 +32,10 @@
              [this](std::uint64_t aVersion, const std::string& aRoute) {
                return findRoute(aVersion, aRoute);
              })
-  , m_server(aContext, aClock, [this](const HttpExchangePtr& aExchange) {
-    onRequest(aExchange);
-  })
+  , m_server(aContext,
+             aClock,
+             [this](const HttpExchangePtr& aExchange) { onRequest(aExchange); })
+  , m_warmTimer(aContext)
 {
 }
 
@@ -63,12 +66,26 @@
   };
   const std::error_code error =
     m_links.init(m_settings.address, m_settings.relayPort, std::move(handlers));
+  warmLater();
   return error ? error : m_server.init(m_settings.address, m_settings.port);
 }
 
+void
+Traffic::warmLater()
+{
+  m_servers.warm();
+  m_warmTimer.expires_after(kWarmEvery);
+  m_warmTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      warmLater();
+    }
+  });
+}
+
 void
 Traffic::shutdown()
 {
+  m_warmTimer.cancel();
   m_links.shutdown();
   m_server.shutdown();
 }
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -13,6 +13,7 @@
 #include <system_error>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "dispatcher_p.h"
 #include "http_server_p.h"
@@ -85,6 +86,7 @@
   void onRequest(const HttpExchangePtr& aExchange);
   RelayWorker::FoundRoute findRoute(std::uint64_t aVersion,
                                     const std::string& aRoute);
+  void warmLater();
   RouteState& stateOf(const Route& aRoute);
   void forgetRoutes();
 
@@ -101,6 +103,7 @@
   /// Newest last; a peer may be a few versions behind or ahead.
   std::deque<std::shared_ptr<const RoutingTable>> m_versions;
   TrafficView m_view;
+  boost::asio::steady_timer m_warmTimer;
   std::atomic<std::uint32_t> m_load{ 0 };
   std::map<std::string, RouteState> m_routes; ///< by name
 };
