Relays: a peer with another version of the same route serves; a refusal costs no budget

Change: a relay names a hash of the shards and the merge in place of the version; a refused relay's shards are first attempts.

--- a/src/gather_query.cpp
+++ b/src/gather_query.cpp
@@ -92,8 +92,8 @@
   const TimePoint now = m_services.clock.now();
   const HttpRequest& request = m_query.exchange->request();
   RelayQuery relay;
-  relay.version = m_query.routing->version();
   relay.route = m_query.route->name;
+  relay.routeHash = m_query.route->gatherHash();
   relay.leftUs = microsOf(m_query.schedule.giveUpAt - now - kPeerWay);
   const TimePoint replyAt =
     std::max(m_query.schedule.aimAt - 2 * kPeerWay, now + kPeerWay);
@@ -134,7 +134,8 @@
   }
   Relay& relay = found->second;
   relay.signOfLife = true;
-  if (aReply.state != RelayState::Running) {
+  if (aReply.state == RelayState::Partial ||
+      aReply.state == RelayState::Final) {
     relay.in = readBits(aReply.shards, m_query.route->shards.size());
     relay.signatures = aReply.signatures;
     relay.records = aReply.records;
@@ -144,7 +145,10 @@
       relay.records.clear();
     }
   }
-  if (aReply.state == RelayState::Final && !relay.ended) {
+  if (aReply.state == RelayState::Refused && !relay.ended) {
+    relay.ended = true;
+    m_fanOut->add(relay.asked, AttemptKind::First, {});
+  } else if (aReply.state == RelayState::Final && !relay.ended) {
     relay.ended = true;
     takeOver(relay);
   }
--- a/src/relay_client.cpp
+++ b/src/relay_client.cpp
@@ -173,7 +173,8 @@
     return; // cancelled meanwhile
   }
   const auto listener = found->second.listener.lock();
-  if (reply->state == RelayState::Final) {
+  if (reply->state == RelayState::Final ||
+      reply->state == RelayState::Refused) {
     m_running.erase(found);
   }
   if (listener) {
--- a/src/relay_wire_p.h
+++ b/src/relay_wire_p.h
@@ -29,9 +29,11 @@
 /// Asks a peer to run a query on some of a route's shards.
 struct RelayQuery
 {
-  std::uint64_t query = 0;   ///< unique for the asking host's incarnation
-  std::uint64_t version = 0; ///< of the configuration that governs the query
+  std::uint64_t query = 0; ///< unique for the asking host's incarnation
   std::string route;
+  /// Of the route's shards and merge, as the query's configuration has them. A
+  /// peer may hold another version in which they are the same.
+  std::uint64_t routeHash = 0;
   std::uint32_t leftUs = 0;    ///< until the caller's deadline
   std::uint32_t replyInUs = 0; ///< what is in by then is sent
   std::string method;
@@ -43,9 +45,9 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(query, version);
+    aArchive(query);
     wireText(aArchive, route);
-    aArchive(leftUs, replyInUs);
+    aArchive(routeHash, leftUs, replyInUs);
     wireText(aArchive, method);
     wireText(aArchive, target);
     wireList(aArchive, headers);
@@ -59,6 +61,7 @@
   Running = 1, ///< the peer works on it; nothing else is told
   Partial = 2, ///< what is in so far
   Final = 3,   ///< nothing more will come
+  Refused = 4, ///< the peer doesn't know the route like this; it sent nothing
 };
 
 /// The merged records of the shards that are in. A later reply replaces an
--- a/src/relay_worker.cpp
+++ b/src/relay_worker.cpp
@@ -199,16 +199,16 @@
              LogLine("relay-query-malformed").add("peer", aHost));
     return;
   }
-  FoundRoute found = m_findRoute(query->version, query->route);
-  if (found.route == nullptr || !found.route->isGather()) {
+  FoundRoute found = m_findRoute(query->route, query->routeHash);
+  if (found.route == nullptr) {
     logWrite(LogLevel::Info,
              LogLine("relay-refused")
                .add("peer", aHost)
                .add("route", query->route)
-               .add("version", query->version));
+               .addText("reason", "no such route in any version held"));
     RelayReply reply;
     reply.query = query->query;
-    reply.state = RelayState::Final;
+    reply.state = RelayState::Refused;
     aReply(MessageType::RelayReply, encode(std::move(reply)));
     return;
   }
--- a/src/relay_worker_p.h
+++ b/src/relay_worker_p.h
@@ -21,16 +21,15 @@
 class RelayWorker
 {
 public:
-  /// @returns the route of a configuration version, or nulls when this host
-  ///          doesn't hold that version
+  /// A route as a configuration that this host holds has it, or nulls.
   struct FoundRoute
   {
     std::shared_ptr<const RoutingTable> routing;
     const Route* route = nullptr;
     std::shared_ptr<RouteTiming> timing;
   };
-  using FindRoute = std::function<FoundRoute(std::uint64_t aVersion,
-                                             const std::string& aRoute)>;
+  using FindRoute = std::function<FoundRoute(const std::string& aRoute,
+                                             std::uint64_t aGatherHash)>;
 
   RelayWorker(const QueryServices& aServices, FindRoute aFindRoute);
   ~RelayWorker();
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -2,8 +2,21 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace toucanridge {
 
+std::uint64_t
+Route::gatherHash() const
+{
+  std::string text =
+    std::to_string(topRecords) + ' ' + std::to_string(maxAttempts);
+  for (const std::string& shard : shards) {
+    text.append(" ").append(shard);
+  }
+  return XXH3_64bits(text.data(), text.size());
+}
+
 RoutingTable::RoutingTable(std::uint64_t aVersion,
                            std::vector<Route> aRoutes,
                            std::vector<ServiceContract> aServices,
--- a/src/routing_p.h
+++ b/src/routing_p.h
@@ -42,6 +42,8 @@
   double minCoverage = 1.0;         ///< least share of the shards, 0 to 1
 
   bool isGather() const { return !shards.empty(); }
+  /// @returns a hash of what the merged answer depends on
+  std::uint64_t gatherHash() const;
 };
 
 /// What a service's servers bear.
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -29,8 +29,8 @@
   , m_services{ aContext,     aClock,   aProtocol,
                 m_dispatcher, m_relays, m_settings.dataCentre }
   , m_worker(m_services,
-             [this](std::uint64_t aVersion, const std::string& aRoute) {
-               return findRoute(aVersion, aRoute);
+             [this](const std::string& aRoute, std::uint64_t aGatherHash) {
+               return findRoute(aRoute, aGatherHash);
              })
   , m_server(aContext,
              aClock,
@@ -141,18 +141,17 @@
 }
 
 RelayWorker::FoundRoute
-Traffic::findRoute(std::uint64_t aVersion, const std::string& aRoute)
+Traffic::findRoute(const std::string& aRoute, std::uint64_t aGatherHash)
 {
   RelayWorker::FoundRoute found;
-  for (const auto& routing : m_versions) {
-    if (routing->version() != aVersion) {
-      continue;
-    }
-    for (const Route& route : routing->routes()) {
-      if (route.name == aRoute) {
-        found.routing = routing;
+  for (auto i = m_versions.rbegin(); i != m_versions.rend(); ++i) {
+    for (const Route& route : (*i)->routes()) {
+      if (route.name == aRoute && route.isGather() &&
+          route.gatherHash() == aGatherHash) {
+        found.routing = *i;
         found.route = &route;
         found.timing = stateOf(route).timing;
+        return found;
       }
     }
   }
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -84,8 +84,8 @@
   };
 
   void onRequest(const HttpExchangePtr& aExchange);
-  RelayWorker::FoundRoute findRoute(std::uint64_t aVersion,
-                                    const std::string& aRoute);
+  RelayWorker::FoundRoute findRoute(const std::string& aRoute,
+                                    std::uint64_t aGatherHash);
   void warmLater();
   RouteState& stateOf(const Route& aRoute);
   void forgetRoutes();
