--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,7 +6,7 @@
 # clang can't read the precompiled header that gcc made.
 sed -E 's/-Winvalid-pch//; s/-include [^ ]*cmake_pch\.hxx//' \
   "$build/compile_commands.json" >"$build/lint/compile_commands.json"
-git ls-files 'src/*.cpp' 'tools/*.cpp' 'tests/*.cpp' |
+git ls-files 'src/*.cpp' 'platform/*.cpp' 'tools/*.cpp' 'tests/*.cpp' |
   xargs -P "$(nproc)" -n 1 clang-tidy -quiet -p "$build/lint" \
     >"$build/lint/out.txt" 2>/dev/null || true
 grep -E 'warning:|error:' "$build/lint/out.txt" | sort -u >"$build/lint/faults.txt" || true
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -302,6 +302,7 @@
     return makeResponse(503, "no host is ready\n");
   }
   std::vector<std::string> addresses;
+  addresses.reserve(chosen.size());
   for (const Host& host : chosen) {
     addresses.push_back(host.address + ":" + std::to_string(host.httpPort));
   }
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -49,8 +49,8 @@
   /// A connection that was idle for longer is replaced; the server's own
   /// announced time, less a second, goes first.
   std::chrono::milliseconds idleTime{ 20'000 };
-  std::size_t headerBytes = 16 * 1024;
-  std::size_t bodyBytes = 4 * 1024 * 1024;
+  std::size_t headerBytes = 16384;
+  std::size_t bodyBytes = 4194304;
 };
 
 /// A request to send. `id` is compared with the `idHeader` of the response
--- a/src/http_message.cpp
+++ b/src/http_message.cpp
@@ -1,8 +1,5 @@
 #include "http_message_p.h"
 
-#include <algorithm>
-#include <cctype>
-
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -14,12 +11,9 @@
 bool
 equalsIgnoringCase(std::string_view aOne, std::string_view aOther)
 {
-  return aOne.size() == aOther.size() &&
-         std::equal(
-           aOne.begin(), aOne.end(), aOther.begin(), [](char a, char b) {
-             return std::tolower(static_cast<unsigned char>(a)) ==
-                    std::tolower(static_cast<unsigned char>(b));
-           });
+  return boost::beast::iequals(
+    boost::beast::string_view(aOne.data(), aOne.size()),
+    boost::beast::string_view(aOther.data(), aOther.size()));
 }
 
 } // namespace
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::size_t kReadBytes = 4096;
 /// What a caller may send ahead of the answer to its request.
-constexpr std::size_t kPipelinedBytes = 64 * 1024;
+constexpr std::size_t kPipelinedBytes = 65536;
 /// Header limits differ by at most this from the moment they are enforced.
 constexpr milliseconds kSweepEvery{ 250 };
 constexpr milliseconds kAcceptRetry{ 50 };
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -25,8 +25,8 @@
 /// What a caller may send, and how long it may take.
 struct HttpLimits
 {
-  std::size_t headerBytes = 16 * 1024;
-  std::size_t bodyBytes = 1024 * 1024;
+  std::size_t headerBytes = 16384;
+  std::size_t bodyBytes = 1048576;
   /// From the first byte of a request to its end.
   std::chrono::milliseconds requestTime{ 10'000 };
   /// Without a request; the connection is closed then.
--- a/tests/backend_http_test.cpp
+++ b/tests/backend_http_test.cpp
@@ -256,7 +256,7 @@
       pplx::create_task([&, i] {
         BackendCall made = makeCall(server.name(), milliseconds(4000), "x");
         made.key.slot = static_cast<std::uint32_t>(i);
-        m_backend->send(std::move(made), [&](BackendReply) { ++ended; });
+        m_backend->send(std::move(made), [&](const BackendReply&) { ++ended; });
       });
     }
     CPPUNIT_ASSERT_MESSAGE(
--- /dev/null
+++ b/tests/published_items_test.cpp
@@ -0,0 +1,154 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+#include "catalogue_keeper_p.h"
+#include "published_items_p.h"
+
+using namespace toucanridge;
+using std::chrono::milliseconds;
+
+class PublishedItemsTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PublishedItemsTest);
+  CPPUNIT_TEST(neverGoesBack);
+  CPPUNIT_TEST(wholeListingDropsWhatIsGone);
+  CPPUNIT_TEST(copiesConverge);
+  CPPUNIT_TEST(lapsedEntryIsKeptForAMoment);
+  CPPUNIT_TEST(drainingEntryGoesAtOnce);
+  CPPUNIT_TEST(unusableEntryNamesNoServer);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against an older value, from a stale platform or a peer that lags,
+  // that replaces a newer one.
+  void neverGoesBack()
+  {
+    PublishedItems items;
+    items.apply(changes(7, { item("a", "new", 7) }));
+    CPPUNIT_ASSERT(items.apply(changes(6, { item("a", "old", 6) })).empty());
+    CPPUNIT_ASSERT(items.apply(changes(9, { item("a", "old", 6) })).empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), items.items().at("a").value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), items.revision());
+  }
+
+  // Guards against servers that stay known because their removal fell into
+  // lost history.
+  void wholeListingDropsWhatIsGone()
+  {
+    PublishedItems items;
+    items.apply(changes(5, { item("a", "1", 4), item("b", "1", 5) }));
+    ItemChanges whole = changes(9, { item("b", "1", 5) });
+    whole.whole = true;
+    const auto changed = items.apply(whole);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), changed.size());
+    CPPUNIT_ASSERT(changed.count("a") == 1);
+    CPPUNIT_ASSERT(items.changesAfter(5).whole);
+  }
+
+  // Guards against a copy that differs from its source after following it
+  // with gaps, through another copy.
+  void copiesConverge()
+  {
+    for (unsigned seed = 1; seed <= 30; ++seed) {
+      std::mt19937 random(seed);
+      PublishedItems source;
+      PublishedItems middle;
+      PublishedItems last;
+      for (std::uint64_t revision = 1; revision <= 300; ++revision) {
+        const std::string key(1, static_cast<char>('a' + random() % 8));
+        PublishedItem change = item(key, std::to_string(random()), revision);
+        change.deleted = random() % 3 == 0;
+        source.apply(changes(revision, { change }));
+        if (random() % 5 == 0) {
+          middle.apply(source.changesAfter(middle.revision()));
+        }
+        if (random() % 7 == 0) {
+          last.apply(middle.changesAfter(last.revision()));
+        }
+      }
+      middle.apply(source.changesAfter(middle.revision()));
+      last.apply(middle.changesAfter(last.revision()));
+      CPPUNIT_ASSERT_EQUAL(source.items().size(), last.items().size());
+      for (const auto& [key, held] : source.items()) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed),
+                                     held.value,
+                                     last.items().at(key).value);
+      }
+    }
+  }
+
+  // Guards against a service that loses all servers while their entries lapse,
+  // and against one that is used for more than three seconds after it went.
+  void lapsedEntryIsKeptForAMoment()
+  {
+    CatalogueKeeper keeper(m_clock);
+    keeper.set("servers/1", server(false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeper.build(1)->servers.size());
+    keeper.remove("servers/1");
+    m_clock.advance(milliseconds(1500));
+    keeper.tick();
+    CPPUNIT_ASSERT(!keeper.isChanged());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeper.build(2)->servers.size());
+    m_clock.advance(milliseconds(1000));
+    keeper.tick();
+    CPPUNIT_ASSERT(keeper.isChanged());
+    CPPUNIT_ASSERT(keeper.build(3)->servers.empty());
+
+    keeper.set("servers/1", server(false));
+    keeper.remove("servers/1");
+    m_clock.advance(milliseconds(500));
+    keeper.set("servers/1", server(false));
+    m_clock.advance(std::chrono::seconds(5));
+    keeper.tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeper.build(4)->servers.size());
+  }
+
+  // Guards against grace for a server that said it leaves.
+  void drainingEntryGoesAtOnce()
+  {
+    CatalogueKeeper keeper(m_clock);
+    keeper.set("servers/1", server(true));
+    keeper.remove("servers/1");
+    CPPUNIT_ASSERT(keeper.build(1)->servers.empty());
+  }
+
+  // Guards against an entry of another writer that keeps a server in use.
+  void unusableEntryNamesNoServer()
+  {
+    CatalogueKeeper keeper(m_clock);
+    keeper.set("servers/1", server(false));
+    keeper.set("servers/1", std::nullopt);
+    CPPUNIT_ASSERT(keeper.build(1)->servers.empty());
+    keeper.setEvacuated("bkk-lat", true);
+    CPPUNIT_ASSERT(keeper.isChanged());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeper.build(2)->evacuated.size());
+  }
+
+private:
+  static PublishedItem item(const std::string& aKey,
+                            const std::string& aValue,
+                            std::uint64_t aRevision)
+  {
+    return { aKey, aValue, aRevision, false };
+  }
+  static ItemChanges changes(std::uint64_t aTo,
+                             std::vector<PublishedItem> aItems)
+  {
+    ItemChanges made;
+    made.to = aTo;
+    made.items = std::move(aItems);
+    return made;
+  }
+  static BackendServer server(bool aDraining)
+  {
+    BackendServer made;
+    made.id = "1";
+    made.draining = aDraining;
+    return made;
+  }
+
+  ManualClock m_clock;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PublishedItemsTest);
