--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,556 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <thread>
+
+#include <boost/asio.hpp>
+
+#include "http_client_p.h"
+#include "http_server_p.h"
+
+using namespace toucanridge;
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char* kAddress = "127.62.7.1";
+
+tcp::endpoint
+anyPort()
+{
+  return { boost::asio::ip::make_address(kAddress), 0 };
+}
+
+/// A server that plays back bytes, one script a connection.
+class RawServer
+{
+public:
+  /// @param[in] aScript bytes to answer the request with that number; empty: no
+  ///            answer
+  /// @param[in] aClose ends the connection after the answer
+  struct Step
+  {
+    std::string bytes;
+    bool close = false;
+    bool reset = false;
+  };
+  using Script = std::function<Step(int aRequest)>;
+
+  RawServer(boost::asio::io_context& aContext, Script aScript)
+    : m_acceptor(aContext, anyPort())
+    , m_script(std::move(aScript))
+  {
+    accept();
+  }
+
+  tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+  int requests() const { return m_requests; }
+  int accepted() const { return m_accepted; }
+  int open() const { return m_open; }
+
+private:
+  struct Connection : std::enable_shared_from_this<Connection>
+  {
+    explicit Connection(tcp::socket aSocket)
+      : socket(std::move(aSocket))
+    {
+    }
+    tcp::socket socket;
+    std::string buffer;
+  };
+
+  void accept()
+  {
+    m_acceptor.async_accept([this](auto aError, tcp::socket aSocket) {
+      if (!aError) {
+        ++m_accepted;
+        ++m_open;
+        read(std::make_shared<Connection>(std::move(aSocket)));
+        accept();
+      }
+    });
+  }
+
+  void read(const std::shared_ptr<Connection>& aConnection)
+  {
+    boost::asio::async_read_until(
+      aConnection->socket,
+      boost::asio::dynamic_buffer(aConnection->buffer),
+      "\r\n\r\n",
+      [this, aConnection](auto aError, std::size_t aSize) {
+        if (aError) {
+          --m_open;
+          return;
+        }
+        aConnection->buffer.erase(0, aSize);
+        const Step step = m_script(m_requests++);
+        boost::system::error_code ignored;
+        boost::asio::write(
+          aConnection->socket, boost::asio::buffer(step.bytes), ignored);
+        if (step.reset) {
+          aConnection->socket.set_option(
+            boost::asio::socket_base::linger(true, 0), ignored);
+        }
+        if (step.close || step.reset) {
+          --m_open;
+          aConnection->socket.close(ignored);
+          return;
+        }
+        read(aConnection);
+      });
+  }
+
+  tcp::acceptor m_acceptor;
+  Script m_script;
+  int m_requests = 0;
+  int m_accepted = 0;
+  int m_open = 0;
+};
+
+std::string
+response(const std::string& aId, const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + aId +
+         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
+}
+
+} // namespace
+
+class HttpTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(HttpTest);
+  CPPUNIT_TEST(readsRequestsSplitAnywhere);
+  CPPUNIT_TEST(refusesUnclearLengths);
+  CPPUNIT_TEST(boundsHeadersAndBodies);
+  CPPUNIT_TEST(servesPipelinedRequestsInOrder);
+  CPPUNIT_TEST(tellsThatTheCallerLeft);
+  CPPUNIT_TEST(endsSlowRequestsAndKeepsIdleOnes);
+  CPPUNIT_TEST(drainEndsConnectionsAfterTheAnswer);
+  CPPUNIT_TEST(reusesConnections);
+  CPPUNIT_TEST(skipsResponsesToOtherRequests);
+  CPPUNIT_TEST(dropsConnectionWithSurplusBytes);
+  CPPUNIT_TEST(cutResponseIsNoAnswer);
+  CPPUNIT_TEST(unframedResponseEndsWithItsConnection);
+  CPPUNIT_TEST(skipsInformationalResponses);
+  CPPUNIT_TEST(keepsConnectionLimit);
+  CPPUNIT_TEST(cancelClosesTheConnection);
+  CPPUNIT_TEST(saysWhatWasNotSent);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override { m_context.restart(); }
+
+  // Guards against a parser that needs a request, or a chunk, in one piece.
+  void readsRequestsSplitAnywhere()
+  {
+    const std::string bytes =
+      "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n6;x=y\r\n world\r\n0\r\n\r\n"
+      "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (unsigned seed = 1; seed <= 25; ++seed) {
+      std::mt19937 random(seed);
+      startServer();
+      tcp::socket caller = connect();
+      for (std::size_t at = 0; at < bytes.size();) {
+        const std::size_t size =
+          std::min<std::size_t>(random() % 23 + 1, bytes.size() - at);
+        boost::asio::write(caller, boost::asio::buffer(&bytes[at], size));
+        at += size;
+        m_context.poll();
+      }
+      run([this] { return m_seen.size() == 2; });
+      const std::string message = "seed " + std::to_string(seed);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::size_t(2), m_seen.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("hello world"), m_seen[0].body());
+      CPPUNIT_ASSERT(m_seen[0].target() == "/a/b?c=d");
+      CPPUNIT_ASSERT(m_seen[1].target() == "/next");
+    }
+  }
+
+  // Guards against smuggling: a request whose length can be read in two ways.
+  void refusesUnclearLengths()
+  {
+    const char* const heads[] = {
+      "Content-Length: 5\r\nTransfer-Encoding: chunked",
+      "Transfer-Encoding: chunked\r\nContent-Length: 5",
+      "Content-Length: 5\r\nContent-Length: 6",
+      "Content-Length: 5, 6",
+      "Content-Length: +5",
+      "Content-Length: 0x5",
+      "Transfer-Encoding: chunked, identity",
+      "Transfer-Encoding: xchunked",
+      "Transfer-Encoding: gzip, chunked",
+      "Transfer-Encoding : chunked",
+      "Content-Length : 5",
+    };
+    for (const char* head : heads) {
+      startServer();
+      const std::string answer =
+        exchange("POST /x HTTP/1.1\r\nHost: h\r\n" + std::string(head) +
+                 "\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(std::string(head) + " -> " + answer,
+                             answer.find("HTTP/1.1 400") == 0);
+      CPPUNIT_ASSERT_MESSAGE(head, m_seen.empty());
+    }
+  }
+
+  // Guards against memory that a caller fills without an end.
+  void boundsHeadersAndBodies()
+  {
+    startServer();
+    CPPUNIT_ASSERT(
+      exchange("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(5000, 'x'))
+        .find("HTTP/1.1 431") == 0);
+    startServer();
+    CPPUNIT_ASSERT(
+      exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\n")
+        .find("HTTP/1.1 413") == 0);
+    startServer();
+    CPPUNIT_ASSERT(
+      exchange("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+               "\r\n2000\r\n" +
+               std::string(0x2000, 'x'))
+        .find("HTTP/1.1 413") == 0);
+    CPPUNIT_ASSERT(m_seen.empty());
+  }
+
+  // Guards against an answer that overtakes the one before it.
+  void servesPipelinedRequestsInOrder()
+  {
+    startServer();
+    m_hold = true;
+    tcp::socket caller = connect();
+    send(
+      caller,
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    run([this] { return m_held.size() == 1; });
+    m_context.run_for(milliseconds(30));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_seen.size());
+    m_held[0]->reply(makeResponse(200, "one"));
+    run([this] { return m_held.size() == 2; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_seen.size());
+    CPPUNIT_ASSERT(!m_held[1]->isFirst());
+  }
+
+  // Guards against work that goes on for a caller that has left.
+  void tellsThatTheCallerLeft()
+  {
+    startServer();
+    m_hold = true;
+    bool left = false;
+    {
+      tcp::socket caller = connect();
+      send(caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+      run([this] { return m_held.size() == 1; });
+      m_held[0]->onAbandoned([&left] { left = true; });
+    }
+    run([&left] { return left; });
+    CPPUNIT_ASSERT(left);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_server->running());
+    m_held[0]->reply(makeResponse(200, "late")); // must do nothing
+    m_held.clear();
+  }
+
+  // Guards against callers that hold connections with half a request.
+  void endsSlowRequestsAndKeepsIdleOnes()
+  {
+    startServer();
+    tcp::socket slow = connect();
+    tcp::socket idle = connect();
+    send(slow, "GET /slow HT");
+    run([this] { return m_server->connections() == 2; });
+    m_context.run_for(milliseconds(20));
+    m_clock.advance(std::chrono::seconds(3));
+    run([this] { return m_server->connections() == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_server->connections());
+    m_clock.advance(std::chrono::seconds(60));
+    run([this] { return m_server->connections() == 0; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_server->connections());
+  }
+
+  // Guards against a shutdown that cuts a request, or lets a caller send
+  // another one on a connection that is about to end.
+  void drainEndsConnectionsAfterTheAnswer()
+  {
+    startServer();
+    m_hold = true;
+    tcp::socket caller = connect();
+    send(caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    run([this] { return m_held.size() == 1; });
+    m_server->drain();
+    m_server->closeIdle();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_server->running());
+    m_held[0]->reply(makeResponse(200, "done"));
+    const std::string answer = readAll(caller);
+    CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+    CPPUNIT_ASSERT(answer.find("done") != std::string::npos);
+  }
+
+  // Guards against a new connection for each request: a server allows few.
+  void reusesConnections()
+  {
+    RawServer server(
+      m_context, [](int) { return RawServer::Step{ response("q", "ok") }; });
+    auto pool = makePool(server.endpoint());
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT(ExchangeEnd::Answered == call(*pool).end);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, server.accepted());
+  }
+
+  // Guards against an answer to another request that reaches this caller, and
+  // against the loss of the right one behind it.
+  void skipsResponsesToOtherRequests()
+  {
+    RawServer server(m_context, [](int) {
+      return RawServer::Step{ response("other", "no") + response("q", "yes") };
+    });
+    auto pool = makePool(server.endpoint());
+    const ExchangeResult result = call(*pool);
+    CPPUNIT_ASSERT(ExchangeEnd::Answered == result.end);
+    CPPUNIT_ASSERT_EQUAL(std::string("yes"), result.response.body());
+    call(*pool);
+    CPPUNIT_ASSERT_EQUAL(2, server.accepted());
+
+    RawServer stray(m_context, [](int) {
+      return RawServer::Step{ response("other", "no"), true };
+    });
+    CPPUNIT_ASSERT(ExchangeEnd::Answered !=
+                   call(*makePool(stray.endpoint())).end);
+  }
+
+  // Guards against a second answer that waits for the next request.
+  void dropsConnectionWithSurplusBytes()
+  {
+    RawServer server(m_context, [](int) {
+      return RawServer::Step{ response("q", "ok") + response("q", "again") };
+    });
+    auto pool = makePool(server.endpoint());
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), call(*pool).response.body());
+    run([&] { return pool->size() == 0; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), pool->size());
+  }
+
+  // Guards against an answer that ends early and looks complete.
+  void cutResponseIsNoAnswer()
+  {
+    const std::string whole = response("q", "0123456789");
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+      for (const bool reset : { false, true }) {
+        RawServer server(m_context, [&](int) {
+          return RawServer::Step{ whole.substr(0, size), true, reset };
+        });
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(size),
+                               ExchangeEnd::Answered !=
+                                 call(*makePool(server.endpoint())).end);
+      }
+    }
+    RawServer chunks(m_context, [](int) {
+      return RawServer::Step{
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        true
+      };
+    });
+    CPPUNIT_ASSERT(ExchangeEnd::Answered !=
+                   call(*makePool(chunks.endpoint())).end);
+  }
+
+  // Guards against the loss of a response without a length, and against one
+  // that was reset on the way.
+  void unframedResponseEndsWithItsConnection()
+  {
+    const std::string bytes = "HTTP/1.1 200 OK\r\nRequest-Id: q\r\n\r\nbody";
+    RawServer server(m_context, [&](int) {
+      return RawServer::Step{ bytes, true };
+    });
+    const ExchangeResult result = call(*makePool(server.endpoint()));
+    CPPUNIT_ASSERT(ExchangeEnd::Answered == result.end);
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), result.response.body());
+    RawServer broken(m_context, [&](int) {
+      return RawServer::Step{ bytes, false, true };
+    });
+    CPPUNIT_ASSERT(ExchangeEnd::Answered !=
+                   call(*makePool(broken.endpoint())).end);
+  }
+
+  // Guards against 100 or 103 taken for the answer.
+  void skipsInformationalResponses()
+  {
+    RawServer server(m_context, [](int) {
+      return RawServer::Step{ "HTTP/1.1 100 Continue\r\n\r\n"
+                              "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" +
+                              response("q", "ok") };
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                         call(*makePool(server.endpoint())).response.body());
+  }
+
+  // Guards against more connections than this host's share.
+  void keepsConnectionLimit()
+  {
+    RawServer server(m_context, [](int) { return RawServer::Step{}; });
+    auto pool = makePool(server.endpoint());
+    std::vector<HttpTicketPtr> tickets;
+    for (int i = 0; i < 10; ++i) {
+      tickets.push_back(pool->send(makeCall(), [](const ExchangeResult&) {}));
+    }
+    m_context.run_for(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(2, server.accepted());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), pool->waiting());
+    for (const auto& ticket : tickets) {
+      ticket->cancel();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), pool->waiting());
+  }
+
+  // Guards against a server that works on for nobody.
+  void cancelClosesTheConnection()
+  {
+    RawServer server(m_context, [](int) { return RawServer::Step{}; });
+    auto pool = makePool(server.endpoint());
+    bool called = false;
+    const auto ticket = pool->send(
+      makeCall(), [&called](const ExchangeResult&) { called = true; });
+    run([&] { return server.requests() == 1; });
+    ticket->cancel();
+    run([&] { return server.open() == 0; });
+    CPPUNIT_ASSERT_EQUAL(0, server.open());
+    CPPUNIT_ASSERT(!called);
+  }
+
+  // Guards against a refusal that says "not run" of a request a server read,
+  // and against the opposite where no connection was made.
+  void saysWhatWasNotSent()
+  {
+    tcp::endpoint closed;
+    {
+      tcp::acceptor acceptor(m_context, anyPort());
+      closed = acceptor.local_endpoint();
+    }
+    CPPUNIT_ASSERT(ExchangeEnd::ConnectFailed == call(*makePool(closed)).end);
+    RawServer server(m_context, [](int) {
+      return RawServer::Step{ "", true };
+    });
+    CPPUNIT_ASSERT(ExchangeEnd::Broken ==
+                   call(*makePool(server.endpoint())).end);
+  }
+
+private:
+  template<class Condition>
+  void run(Condition aCondition)
+  {
+    const auto limit =
+      std::chrono::steady_clock::now() + std::chrono::seconds(3);
+    while (!aCondition() && std::chrono::steady_clock::now() < limit) {
+      m_context.restart();
+      m_context.run_for(milliseconds(5));
+    }
+    m_context.restart();
+  }
+
+  void startServer()
+  {
+    m_held.clear();
+    if (m_server) {
+      m_server->shutdown();
+      m_context.restart();
+      m_context.poll();
+    }
+    m_seen.clear();
+    m_hold = false;
+    m_server = std::make_unique<HttpServer>(
+      m_context, m_clock, [this](const HttpExchangePtr& aExchange) {
+        m_seen.push_back(aExchange->request());
+        if (m_hold) {
+          m_held.push_back(aExchange);
+        } else {
+          aExchange->reply(makeResponse(200, "ok"));
+        }
+      });
+    HttpLimits limits;
+    limits.headerBytes = 2048;
+    limits.bodyBytes = 4096;
+    limits.requestTime = milliseconds(2000);
+    limits.idleTime = milliseconds(30'000);
+    m_server->setLimits(limits);
+    // Another port for each server: an old connection must not reach it.
+    tcp::acceptor probe(m_context, anyPort());
+    m_port = probe.local_endpoint().port();
+    probe.close();
+    CPPUNIT_ASSERT(!m_server->init(kAddress, m_port));
+  }
+
+  tcp::socket connect()
+  {
+    tcp::socket socket(m_context);
+    socket.connect({ boost::asio::ip::make_address(kAddress), m_port });
+    return socket;
+  }
+
+  static void send(tcp::socket& aSocket, const std::string& aBytes)
+  {
+    boost::asio::write(aSocket, boost::asio::buffer(aBytes));
+  }
+
+  /// Reads until the connection ends.
+  std::string readAll(tcp::socket& aSocket)
+  {
+    std::string bytes;
+    bool ended = false;
+    boost::asio::async_read(aSocket,
+                            boost::asio::dynamic_buffer(bytes),
+                            [&ended](auto, std::size_t) { ended = true; });
+    run([&ended] { return ended; });
+    return bytes;
+  }
+
+  std::string exchange(const std::string& aBytes)
+  {
+    tcp::socket caller = connect();
+    send(caller, aBytes);
+    return readAll(caller);
+  }
+
+  std::shared_ptr<HttpPool> makePool(const tcp::endpoint& aEndpoint)
+  {
+    HttpClientSettings settings;
+    settings.connections = 2;
+    return std::make_shared<HttpPool>(
+      m_context, m_systemClock, aEndpoint, settings);
+  }
+
+  static HttpCall makeCall()
+  {
+    HttpCall made;
+    made.head = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    made.idHeader = "Request-Id";
+    made.id = "q";
+    return made;
+  }
+
+  ExchangeResult call(HttpPool& aPool)
+  {
+    std::optional<ExchangeResult> result;
+    aPool.send(makeCall(), [&result](ExchangeResult aResult) {
+      result = std::move(aResult);
+    });
+    run([&result] { return result.has_value(); });
+    CPPUNIT_ASSERT(result.has_value());
+    return std::move(*result);
+  }
+
+  boost::asio::io_context m_context;
+  ManualClock m_clock;
+  SystemClock m_systemClock;
+  std::unique_ptr<HttpServer> m_server;
+  std::uint16_t m_port = 0;
+  std::vector<HttpRequest> m_seen;
+  std::vector<HttpExchangePtr> m_held;
+  bool m_hold = false;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
