--- a/src/roster.cpp
+++ b/src/roster.cpp
@@ -1,6 +1,7 @@
 #include "roster_p.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "log_p.h"
 
@@ -9,7 +10,8 @@
 
 using std::chrono::milliseconds;
 
-/// A starting host introduces itself often, so that traffic finds the fleet.
+/// A starting host introduces itself often, so that traffic finds the fleet,
+/// and goes on for as long as it hears of others that it didn't know.
 constexpr milliseconds kStartingEvery{ 150 };
 constexpr std::chrono::seconds kStartingTime{ 3 };
 constexpr milliseconds kEvery{ 3000 };
@@ -31,7 +33,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(kind, asks);
+    aArchive(kind, asks, known);
     auto size = static_cast<std::uint8_t>(hosts.size());
     aArchive(size);
     hosts.resize(size);
@@ -70,7 +72,7 @@
   , m_random(aSeed)
   , m_sender(aSender)
   , m_self(std::move(aSelf))
-  , m_started(aClock.now())
+  , m_learnt(aClock.now())
   , m_next(aClock.now())
 {
 }
@@ -99,7 +101,7 @@
   if (now < m_next) {
     return;
   }
-  const bool starting = now - m_started < kStartingTime;
+  const bool starting = now - m_learnt < kStartingTime;
   m_next = now + (starting ? kStartingEvery : kEvery);
   if (m_turn == 0) {
     ++m_turn;
@@ -128,6 +130,8 @@
 {
   Introduction message;
   message.asks = aAsk ? 1 : 0;
+  message.known = static_cast<std::uint16_t>(
+    std::min<std::size_t>(size(), std::numeric_limits<std::uint16_t>::max()));
   message.hosts.push_back(m_self);
   // Only hosts heard of lately: passing on old word would keep a host that is
   // gone in every roster for ever.
@@ -139,7 +143,7 @@
     }
   }
   std::shuffle(others.begin(), others.end(), m_random);
-  const bool starting = now - m_started < kStartingTime;
+  const bool starting = now - m_learnt < kStartingTime;
   const std::size_t most = starting || !aAsk ? kHostsInDatagram : kHostsLater;
   for (const Host* host : others) {
     if (message.hosts.size() >= most) {
@@ -167,6 +171,9 @@
     // Hearsay counts for less than half of a host's own word.
     learn(message->hosts[i], i == 0 ? now : now - kForgetAfter / 2);
   }
+  if (message->known > size()) {
+    m_learnt = now; // there is more to hear of
+  }
   if (message->asks != 0) {
     introduce(aFrom, false);
   }
@@ -182,6 +189,7 @@
   if (found == m_hosts.end()) {
     m_hosts[aHost.name] = { aHost, aHeard, m_clock.now() };
     m_changed = true;
+    m_learnt = m_clock.now();
     logWrite(LogLevel::Info,
              LogLine("host-found")
                .add("host", aHost.name)
--- a/src/roster_p.h
+++ b/src/roster_p.h
@@ -70,7 +70,7 @@
   const Host m_self;
   std::vector<PeerAddress> m_seeds;
   std::map<std::string, Known> m_hosts; ///< others, by name
-  TimePoint m_started;
+  TimePoint m_learnt; ///< when a new host was heard of, or the start
   TimePoint m_next;
   std::uint64_t m_revision = 1;
   std::size_t m_turn = 0;
--- /dev/null
+++ b/tests/platform_adapter_test.cpp
@@ -0,0 +1,252 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "platform_documents.h"
+#include "platform_protocol.h"
+#include "platform_settings.h"
+
+using namespace toucanridge;
+using namespace toucanridge::platform;
+using std::chrono::milliseconds;
+
+class PlatformAdapterTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PlatformAdapterTest);
+  CPPUNIT_TEST(readsSettings);
+  CPPUNIT_TEST(namesTheFaultySetting);
+  CPPUNIT_TEST(decodesRoutes);
+  CPPUNIT_TEST(refusesBrokenRouting);
+  CPPUNIT_TEST(decodesServers);
+  CPPUNIT_TEST(refusesForeignEntries);
+  CPPUNIT_TEST(passesRequestsOnUnchanged);
+  CPPUNIT_TEST(tellsAnswersApart);
+  CPPUNIT_TEST(neverPassesConnectionHeadersOn);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against ports and bounds that are read from the wrong key.
+  void readsSettings()
+  {
+    const auto settings = parseSettings(settingsText());
+    CPPUNIT_ASSERT_MESSAGE(settings ? "" : settings.error(),
+                           settings.has_value());
+    const EntrySettings& entry = settings->entry;
+    CPPUNIT_ASSERT_EQUAL(std::string("edge-1"), entry.host);
+    CPPUNIT_ASSERT_EQUAL(std::string("bkk-lat"), entry.dataCentre);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.9"), entry.address);
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t(8104), entry.callerPort);
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t(7380), entry.peerPort);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry.seeds.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t(7380), entry.seeds[1].port);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(250), entry.capacity);
+    CPPUNIT_ASSERT_EQUAL(54.0, entry.budget.slack);
+    CPPUNIT_ASSERT(entry.budget.window == milliseconds(10'000));
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t(8102), settings->storePort);
+  }
+
+  // Guards against a process that starts with half of its settings, and
+  // against an error that doesn't say where the fault is.
+  void namesTheFaultySetting()
+  {
+    const std::pair<const char*, const char*> faults[] = {
+      { "node_name=edge-1", "node_name=" },
+      { "listen.frontend=10.1.0.9:8104", "listen.frontend=10.1.0.9" },
+      { "listen.directory=10.1.0.9:8100", "listen.directory=host:8100" },
+      { "port_range=7380,7395", "port_range=x" },
+      { "seeds=10.1.0.9:8106,10.2.0.2:8106", "seeds=10.1.0.9" },
+      { "bounds.retry_slack=54", "bounds.retry_slack=many" },
+      { "bounds.grace_s=6", "bounds.grace_s=-1" },
+      { "platform.address=10.200.1.7:8102", "platform.address=10.200.1.7:0" },
+    };
+    for (const auto& [good, bad] : faults) {
+      std::string text = settingsText();
+      text.replace(text.find(good), std::string(good).size(), bad);
+      const auto settings = parseSettings(text);
+      const std::string key(bad, std::string(bad).find('='));
+      CPPUNIT_ASSERT_MESSAGE(bad, !settings);
+      CPPUNIT_ASSERT_MESSAGE(settings.error(),
+                             settings.error().find("'" + key + "'") !=
+                               std::string::npos);
+    }
+    CPPUNIT_ASSERT(!readSettings("/nonexistent"));
+  }
+
+  // Guards against a route whose limits, kind or shards are lost.
+  void decodesRoutes()
+  {
+    const auto routing = m_documents.decodeRouting({ "op/config",
+                                                     R"({"version":7,"routes":[
+          {"name":"g","host":"h","prefix":"/g/","route_type":"idempotent",
+           "timeout_ms":800,"target_latency_ms":80,"priority":2,
+           "gather":["a","b"],"max_attempts":2,"top_k":5,"min_coverage":0.75},
+          {"name":"s","host":"h","prefix":"/s/","route_type":"non_idempotent",
+           "timeout_ms":9,"traffic_split":[{"service":"x","weight":3},
+           {"service":"y","weight":1}]}],
+          "services":[{"name":"a","max_connections":31,"warmup_per_s":2.5}],
+          "limits":{"max_header_bytes":4096,"idle_timeout_ms":5000}})",
+                                                     1,
+                                                     false });
+    CPPUNIT_ASSERT(routing != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), routing->version());
+    const Route* gather = routing->find("h", "/g/1");
+    CPPUNIT_ASSERT(gather->isGather() && gather->idempotent);
+    CPPUNIT_ASSERT(gather->timeLimit == milliseconds(800));
+    CPPUNIT_ASSERT(gather->aim == milliseconds(80));
+    CPPUNIT_ASSERT_EQUAL(5U, gather->topRecords);
+    CPPUNIT_ASSERT_EQUAL(0.75, gather->minCoverage);
+    const Route* split = routing->find("h", "/s/1");
+    CPPUNIT_ASSERT(!split->isGather() && !split->idempotent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), split->targets.size());
+    CPPUNIT_ASSERT_EQUAL(3.0, split->targets[0].weight);
+    CPPUNIT_ASSERT_EQUAL(31U, routing->service("a")->maxConnections);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4096), routing->limits().headerBytes);
+    CPPUNIT_ASSERT(routing->limits().idleTime == milliseconds(5000));
+  }
+
+  // Guards against a broken value that takes the place of the one in force.
+  void refusesBrokenRouting()
+  {
+    for (const char* text : { "",
+                              "[]",
+                              "{",
+                              R"({"version":"7","routes":[]})",
+                              R"({"version":7})",
+                              R"({"version":-7,"routes":[]})" }) {
+      CPPUNIT_ASSERT_MESSAGE(
+        text,
+        m_documents.decodeRouting({ "op/config", text, 1, false }) == nullptr);
+    }
+  }
+
+  // Guards against servers that are used in the wrong service or state.
+  void decodesServers()
+  {
+    const auto server = m_documents.decodeServer(
+      { "servers/i-1",
+        R"({"service":"a","address":"10.128.0.9:8080","zone":"bkk-lat",
+            "slots":3,"state":"draining","warmup_left_ms":1500,"sequence":4,
+            "born":1700000000123})",
+        1,
+        false });
+    CPPUNIT_ASSERT(server.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), server->id);
+    CPPUNIT_ASSERT(server->draining);
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t(8080), server->port);
+    CPPUNIT_ASSERT(server->coldLeft == milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1700000000123), server->startedMs);
+    CPPUNIT_ASSERT(ItemKind::Server == m_documents.kindOf("servers/i-1"));
+    CPPUNIT_ASSERT(ItemKind::Evacuation ==
+                   m_documents.kindOf("op/evacuate/bkk-lat"));
+    CPPUNIT_ASSERT_EQUAL(std::string("bkk-lat"),
+                         m_documents.evacuated("op/evacuate/bkk-lat"));
+    CPPUNIT_ASSERT(ItemKind::Other == m_documents.kindOf("op/other"));
+  }
+
+  // Guards against an entry of another writer that names a server to use.
+  void refusesForeignEntries()
+  {
+    for (const char* text : {
+           "\xff\xfe",
+           "null",
+           R"({"service":"a","state":"ready"})",
+           R"({"service":"a","address":"10.0.0.1:80","state":"asleep"})",
+           R"({"service":7,"address":"10.0.0.1:80","state":"ready"})",
+           R"({"service":"a","address":"10.0.0.1","state":"ready"})",
+           R"({"service":"a","address":"10.0.0.1:80x","state":"ready"})",
+           R"({"service":"a","address":["10.0.0.1:80"],"state":"ready"})",
+         }) {
+      CPPUNIT_ASSERT_MESSAGE(
+        text, !m_documents.decodeServer({ "servers/x", text, 1, false }));
+    }
+  }
+
+  // Guards against a request that reaches a server with another path, body or
+  // id, or with more time than is left.
+  void passesRequestsOnUnchanged()
+  {
+    HttpRequest request(boost::beast::http::verb::post, "/a//b?c=%2f&d", 11);
+    request.set("Host", "h.example");
+    request.set("Request-Id", "q1");
+    request.set("Deadline-Ms", "1000");
+    request.set("Connection", "X-Private, keep-alive");
+    request.set("X-Private", "1");
+    request.set("X-Other", "2");
+    request.body() = "bytes";
+    BackendServer server;
+    server.id = "i-1";
+    const CallerTerms terms = m_protocol.readTerms(request);
+    CPPUNIT_ASSERT(*terms.deadline == milliseconds(1000));
+    const HttpCall call =
+      m_protocol.makeCall(request, terms, server, milliseconds(400));
+    CPPUNIT_ASSERT(call.head.find("POST /a//b?c=%2f&d HTTP/1.1\r\n") == 0);
+    for (const char* line : { "\r\nRequest-Id: q1\r\n",
+                              "\r\nDeadline-Ms: 400\r\n",
+                              "\r\nTarget-Instance: i-1\r\n",
+                              "\r\nX-Other: 2\r\n",
+                              "\r\nContent-Length: 5\r\n" }) {
+      CPPUNIT_ASSERT_MESSAGE(call.head,
+                             call.head.find(line) != std::string::npos);
+    }
+    CPPUNIT_ASSERT(call.head.find("X-Private") == std::string::npos);
+    CPPUNIT_ASSERT(call.head.find("1000") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::string("bytes"), call.body);
+  }
+
+  // Guards against a failure, an encoded body or a refusal that counts as an
+  // answer.
+  void tellsAnswersApart()
+  {
+    HttpResponse response = makeResponse(200, "x");
+    CPPUNIT_ASSERT(!m_protocol.readAnswer(response).good);
+    response.set("Server-Stamp", "s");
+    CPPUNIT_ASSERT(m_protocol.readAnswer(response).good);
+    response.set("Content-Encoding", "gzip");
+    CPPUNIT_ASSERT(!m_protocol.readAnswer(response).good);
+    response.erase("Content-Encoding");
+    response.result(500);
+    CPPUNIT_ASSERT(!m_protocol.readAnswer(response).good);
+    CPPUNIT_ASSERT(!m_protocol.readAnswer(response).notRun);
+    response.result(503);
+    CPPUNIT_ASSERT(!m_protocol.readAnswer(response).notRun);
+    response.set("Not-Executed", "1");
+    CPPUNIT_ASSERT(m_protocol.readAnswer(response).notRun);
+    response.result(421);
+    CPPUNIT_ASSERT(m_protocol.readAnswer(response).otherServer);
+  }
+
+  // Guards against an answer whose length or connection is the server's.
+  void neverPassesConnectionHeadersOn()
+  {
+    HttpResponse response = makeResponse(200, "abc");
+    response.set("Connection", "close, X-Hop");
+    response.set("X-Hop", "1");
+    response.set("Keep-Alive", "timeout=5");
+    response.set("Transfer-Encoding", "chunked");
+    response.set("Server-Stamp", "s");
+    const HttpResponse passed = m_protocol.passOn(response);
+    const std::string head = serializeHead(passed, false);
+    for (const char* name :
+         { "Connection", "X-Hop", "Keep-Alive", "Transfer-Encoding" }) {
+      CPPUNIT_ASSERT_MESSAGE(head, head.find(name) == std::string::npos);
+    }
+    CPPUNIT_ASSERT(head.find("Server-Stamp: s\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(head.find("Content-Length: 3\r\n") != std::string::npos);
+  }
+
+private:
+  static std::string settingsText()
+  {
+    return "node_name=edge-1\nzone=bkk-lat\nregion=bkk\n"
+           "zones.bkk-lat=bkk\nlisten.frontend=10.1.0.9:8104\n"
+           "listen.readiness=10.1.0.9:8108\nlisten.directory=10.1.0.9:8100\n"
+           "port_range=7380,7395\nseeds=10.1.0.9:8106,10.2.0.2:8106\n"
+           "limits.cpu_share=0.25\nlimits.cores=1\nunknown.key=x\n"
+           "bounds.retry_budget_ratio=0.2\nbounds.retry_slack=54\n"
+           "bounds.retry_window_s=10\nbounds.grace_s=6\n"
+           "platform.address=10.200.1.7:8102\n";
+  }
+
+  const Documents m_documents;
+  const Protocol m_protocol;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformAdapterTest);
--- /dev/null
+++ b/tests/platform_fakes.h
@@ -0,0 +1,290 @@
+#ifndef TOUCANRIDGE_PLATFORM_FAKES_H
+#define TOUCANRIDGE_PLATFORM_FAKES_H
+
+/// Stand-ins of the platform for tests: its store and its servers, on real
+/// sockets of one thread.
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+
+#include "http_client_p.h"
+#include "http_server_p.h"
+
+namespace toucanridge {
+
+/// The thread that the stand-ins and callers run on.
+class StandInThread
+{
+public:
+  StandInThread()
+    : m_work(m_context.get_executor())
+    , m_thread([this] { m_context.run(); })
+  {
+  }
+  ~StandInThread()
+  {
+    m_context.stop();
+    m_thread.join();
+  }
+
+  boost::asio::io_context& context() { return m_context; }
+
+  /// Runs a function on the thread and waits for it.
+  template<class Function>
+  auto sync(Function aFunction)
+  {
+    std::packaged_task<decltype(aFunction())()> task(std::move(aFunction));
+    auto result = task.get_future();
+    boost::asio::post(m_context, [&task] { task(); });
+    return result.get();
+  }
+
+private:
+  boost::asio::io_context m_context;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    m_work;
+  std::thread m_thread;
+};
+
+/// The store: items by key, listings and watches.
+class StoreStandIn
+{
+public:
+  StoreStandIn(StandInThread& aThread,
+               std::string aAddress,
+               std::uint16_t aPort)
+    : m_thread(aThread)
+    , m_server(aThread.context(),
+               m_clock,
+               [this](const HttpExchangePtr& aExchange) { serve(aExchange); })
+  {
+    m_thread.sync([&] { return m_server.init(aAddress, aPort); });
+  }
+  ~StoreStandIn()
+  {
+    m_thread.sync([this] {
+      m_watches.clear();
+      m_server.shutdown();
+      return 0;
+    });
+  }
+
+  void put(const std::string& aKey, const std::string& aValue)
+  {
+    change(aKey, aValue, false);
+  }
+  void remove(const std::string& aKey) { change(aKey, {}, true); }
+  /// While down, calls have no answer.
+  void setDown(bool aDown)
+  {
+    m_thread.sync([this, aDown] {
+      m_down = aDown;
+      if (aDown) {
+        m_watches.clear();
+      }
+      return 0;
+    });
+  }
+  int calls() const { return m_calls; }
+
+private:
+  struct Item
+  {
+    std::string value;
+    std::uint64_t revision = 0;
+    bool deleted = false;
+  };
+  struct Watch
+  {
+    HttpExchangePtr exchange;
+    std::uint64_t after = 0;
+    std::shared_ptr<boost::asio::steady_timer> timer;
+  };
+
+  void change(const std::string& aKey, const std::string& aValue, bool aDeleted)
+  {
+    m_thread.sync([&] {
+      m_items[aKey] = { aValue, ++m_revision, aDeleted };
+      std::list<Watch> watches;
+      watches.swap(m_watches);
+      for (Watch& watch : watches) {
+        watch.exchange->reply(events(watch.after));
+      }
+      return 0;
+    });
+  }
+
+  void serve(const HttpExchangePtr& aExchange)
+  {
+    ++m_calls;
+    const std::string target(aExchange->request().target());
+    if (m_down) {
+      m_unanswered.push_back(aExchange);
+    } else if (target.find("/kv-range") == 0) {
+      aExchange->reply(json("items", 0, false));
+    } else {
+      const std::uint64_t after = number(target, "after=");
+      if (m_revision > after) {
+        aExchange->reply(events(after));
+        return;
+      }
+      auto timer = std::make_shared<boost::asio::steady_timer>(
+        m_thread.context(),
+        std::chrono::milliseconds(number(target, "wait_ms=")));
+      timer->async_wait([this, aExchange, after](auto aError) {
+        if (!aError && !m_down) {
+          aExchange->reply(events(after));
+        }
+      });
+      m_watches.push_back({ aExchange, after, timer });
+    }
+  }
+
+  HttpResponse events(std::uint64_t aAfter)
+  {
+    return json("events", aAfter, true);
+  }
+
+  HttpResponse json(const char* aList, std::uint64_t aAfter, bool aDeleted)
+  {
+    std::string list;
+    for (const auto& [key, item] : m_items) {
+      if (item.revision <= aAfter || (item.deleted && !aDeleted)) {
+        continue;
+      }
+      list += list.empty() ? "" : ",";
+      list += "{\"key\":\"" + key +
+              "\",\"revision\":" + std::to_string(item.revision);
+      list += item.deleted ? ",\"deleted\":true}"
+                           : ",\"value\":\"" + encode64(item.value) + "\"}";
+    }
+    return makeResponse(200,
+                        "{\"" + std::string(aList) + "\":[" + list +
+                          "],\"has_more\":false,\"current_rev\":" +
+                          std::to_string(m_revision) + "}");
+  }
+
+  static std::string encode64(const std::string& aBytes)
+  {
+    namespace base64 = boost::beast::detail::base64;
+    std::string text(base64::encoded_size(aBytes.size()), '\0');
+    text.resize(base64::encode(text.data(), aBytes.data(), aBytes.size()));
+    return text;
+  }
+
+  static std::uint64_t number(const std::string& aTarget, const char* aName)
+  {
+    return std::stoull(
+      aTarget.substr(aTarget.find(aName) + std::string(aName).size()));
+  }
+
+  StandInThread& m_thread;
+  SystemClock m_clock;
+  HttpServer m_server;
+  std::map<std::string, Item> m_items;
+  std::uint64_t m_revision = 1;
+  std::list<Watch> m_watches;
+  std::vector<HttpExchangePtr> m_unanswered;
+  std::atomic<int> m_calls{ 0 };
+  bool m_down = false;
+};
+
+/// A backend server.
+class ServerStandIn
+{
+public:
+  enum class Mode
+  {
+    Serving,
+    Silent,   ///< runs requests and never answers
+    Shedding, ///< refuses, having run nothing
+    Losing,   ///< runs requests and closes the connection
+    Failing,  ///< runs requests and answers 500
+  };
+
+  ServerStandIn(StandInThread& aThread,
+                std::string aId,
+                const std::string& aAddress,
+                std::uint16_t aPort,
+                std::string aBody)
+    : id(std::move(aId))
+    , body(std::move(aBody))
+    , m_thread(aThread)
+    , m_server(aThread.context(),
+               m_clock,
+               [this](const HttpExchangePtr& aExchange) { serve(aExchange); })
+  {
+    m_thread.sync([&] { return m_server.init(aAddress, aPort); });
+  }
+  ~ServerStandIn()
+  {
+    m_thread.sync([this] {
+      m_held.clear();
+      m_server.shutdown();
+      return 0;
+    });
+  }
+
+  const std::string id;
+  const std::string body;
+  std::atomic<Mode> mode{ Mode::Serving };
+  std::atomic<int> delayMs{ 0 };
+  std::atomic<int> ran{ 0 };
+
+private:
+  void serve(const HttpExchangePtr& aExchange)
+  {
+    const auto& fields = aExchange->request().base();
+    if (headerValue(fields, "Target-Instance") != id) {
+      aExchange->reply(makeResponse(421, ""));
+      return;
+    }
+    if (mode == Mode::Shedding) {
+      HttpResponse refusal = makeResponse(503, "full");
+      refusal.set("Not-Executed", "1");
+      aExchange->reply(std::move(refusal));
+      return;
+    }
+    ++ran;
+    if (mode == Mode::Silent || mode == Mode::Losing) {
+      m_held.push_back(aExchange);
+      if (mode == Mode::Losing) {
+        m_server.shutdown();
+      }
+      return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+      m_thread.context(), std::chrono::milliseconds(delayMs.load()));
+    timer->async_wait([this, aExchange, timer](auto) { answer(aExchange); });
+  }
+
+  void answer(const HttpExchangePtr& aExchange)
+  {
+    const std::string request(
+      headerValue(aExchange->request().base(), "Request-Id"));
+    HttpResponse response =
+      makeResponse(mode == Mode::Failing ? 500 : 200, body);
+    response.set("Request-Id", request);
+    response.set("Server-Stamp", id + "." + request);
+    aExchange->reply(std::move(response));
+  }
+
+  StandInThread& m_thread;
+  SystemClock m_clock;
+  HttpServer m_server;
+  std::vector<HttpExchangePtr> m_held;
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_PLATFORM_FAKES_H
--- /dev/null
+++ b/tests/platform_path_test.cpp
@@ -0,0 +1,513 @@
+/// The whole path on stand-ins of the platform: store, servers and callers on
+/// real sockets, hosts as they run on the platform.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <sstream>
+
+#include "entry_node_p.h"
+#include "platform_documents.h"
+#include "platform_fakes.h"
+#include "platform_protocol.h"
+#include "platform_settings.h"
+#include "platform_store.h"
+#include "record_merge_p.h"
+
+using namespace toucanridge;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::uint16_t kCallerPort = 8104;
+constexpr std::uint16_t kReadinessPort = 8108;
+constexpr std::uint16_t kDirectoryPort = 8100;
+constexpr std::uint16_t kServerPort = 8080;
+constexpr std::uint16_t kStorePort = 8102;
+constexpr const char* kStore = "127.63.9.1";
+constexpr int kShards = 8;
+/// Grace of hosts that nobody talks to while they stop.
+constexpr int kShortGraceS = 2;
+/// Grace in which callers that talk to a host hear that it leaves.
+constexpr int kGraceS = 6;
+
+std::string
+nodeAddress(int aNode)
+{
+  return "127.63.1." + std::to_string(aNode + 1);
+}
+
+std::string
+dataCentre(int aIndex)
+{
+  return aIndex % 2 == 0 ? "dc-a" : "dc-b";
+}
+
+std::string
+settingsText(int aNode, const std::string& aStore, int aGraceS)
+{
+  const std::string ip = nodeAddress(aNode);
+  std::ostringstream text;
+  text << "node_name=host-" << aNode << "\nzone=" << dataCentre(aNode)
+       << "\nregion=r\nlisten.frontend=" << ip << ":" << kCallerPort
+       << "\nlisten.readiness=" << ip << ":" << kReadinessPort
+       << "\nlisten.directory=" << ip << ":" << kDirectoryPort
+       << "\nport_range=7380,7395\nseeds=" << nodeAddress(0) << ":8106,"
+       << nodeAddress(1) << ":8106\nbounds.grace_s=" << aGraceS
+       << "\nbounds.retry_slack=200\n"
+       << "bounds.retry_budget_ratio=0.5\nplatform.address=" << aStore << ":"
+       << kStorePort << "\n";
+  return text.str();
+}
+
+/// A host as the platform command runs it.
+class TestNode
+{
+public:
+  TestNode(int aNode, const std::string& aStore, int aGraceS)
+    : m_settings(*platform::parseSettings(settingsText(aNode, aStore, aGraceS)))
+    , m_node(m_clock,
+             m_settings.entry,
+             { [this](boost::asio::io_context& aContext) {
+                return std::make_unique<platform::Store>(
+                  aContext, m_clock, m_settings);
+              },
+               m_documents,
+               m_protocol,
+               m_protocol })
+  {
+    CPPUNIT_ASSERT(!m_node.init());
+  }
+  ~TestNode() { m_node.shutdown(); }
+
+private:
+  SystemClock m_clock;
+  platform::Documents m_documents;
+  platform::Protocol m_protocol;
+  platform::Settings m_settings;
+  EntryNode m_node;
+};
+
+} // namespace
+
+class PlatformPathTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PlatformPathTest);
+  CPPUNIT_TEST(answersWhole);
+  CPPUNIT_TEST(answersPartlyBeforeTheAim);
+  CPPUNIT_TEST(hedgesToTheOtherServer);
+  CPPUNIT_TEST(runsOnceWhenTheAnswerIsLost);
+  CPPUNIT_TEST(refusalIsTrue);
+  CPPUNIT_TEST(takesNewConfigurations);
+  CPPUNIT_TEST(leavesDrainingServer);
+  CPPUNIT_TEST(leavesEvacuatedDataCentre);
+  CPPUNIT_TEST(followsPeerWithoutThePlatform);
+  CPPUNIT_TEST(directoryDropsHostThatLeaves);
+  CPPUNIT_TEST(shutdownCutsNoRequest);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    m_thread = std::make_unique<StandInThread>();
+    m_store = std::make_unique<StoreStandIn>(*m_thread, kStore, kStorePort);
+    // Each shard has a server in dc-a, in dc-b, or in both.
+    for (int shard = 0; shard < kShards; ++shard) {
+      for (int replica = 0; replica < 2; ++replica) {
+        addServer("s" + std::to_string(shard),
+                  shard * 2 + replica,
+                  shard % 4 == 0 ? dataCentre(replica)
+                                 : dataCentre(shard % 4 == 1 ? 0 : 1));
+      }
+    }
+    addServer("vault", 30, "dc-a");
+    m_store->put("op/config", configuration(1, 1000));
+  }
+
+  void tearDown() override
+  {
+    m_nodes.clear();
+    m_servers.clear();
+    m_store.reset();
+    m_thread.reset();
+  }
+
+  // Guards against a merged answer that lacks parts, labels them wrongly or
+  // loses records on the way through a peer.
+  void answersWhole()
+  {
+    start(2);
+    for (int node = 0; node < 2; ++node) {
+      for (int i = 0; i < 20; ++i) {
+        const ExchangeResult result = query(node, "/all/x");
+        CPPUNIT_ASSERT_EQUAL(200U, result.response.result_int());
+        CPPUNIT_ASSERT_EQUAL(kShards, stamps(result.response));
+        CPPUNIT_ASSERT_EQUAL(expected(), result.response.body());
+      }
+    }
+  }
+
+  // Guards against an answer that waits for a dead shard past the aim, and
+  // against a wrong count of missing parts.
+  void answersPartlyBeforeTheAim()
+  {
+    start(2);
+    query(0, "/all/x");
+    for (const auto& server : m_servers) {
+      if (server->id == "i-2" || server->id == "i-3") {
+        server->mode = ServerStandIn::Mode::Silent;
+      }
+    }
+    const auto begun = steady_clock::now();
+    const ExchangeResult result = query(0, "/all/x");
+    CPPUNIT_ASSERT(steady_clock::now() - begun < milliseconds(450));
+    CPPUNIT_ASSERT_EQUAL(200U, result.response.result_int());
+    CPPUNIT_ASSERT(headerValue(result.response.base(), "Missing-Parts") == "1");
+    CPPUNIT_ASSERT_EQUAL(kShards - 1, stamps(result.response));
+  }
+
+  // Guards against a slow server that makes the answer late or partial while
+  // its replica is idle, near or through a peer.
+  void hedgesToTheOtherServer()
+  {
+    start(2);
+    for (int i = 0; i < 5; ++i) {
+      query(0, "/all/x");
+    }
+    for (const auto& server : m_servers) {
+      if (server->id == "i-2" || server->id == "i-6" || server->id == "i-0") {
+        server->delayMs = 2000;
+      }
+    }
+    const auto begun = steady_clock::now();
+    const ExchangeResult result = query(0, "/all/x");
+    CPPUNIT_ASSERT(steady_clock::now() - begun < milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(kShards, stamps(result.response));
+  }
+
+  // Guards against a second run of a request that must not run twice, and
+  // against a refusal that says it had not run.
+  void runsOnceWhenTheAnswerIsLost()
+  {
+    start(1);
+    ServerStandIn& vault = *m_servers.back();
+    vault.mode = ServerStandIn::Mode::Losing;
+    const ExchangeResult result = query(0, "/once/x");
+    CPPUNIT_ASSERT_EQUAL(502U, result.response.result_int());
+    CPPUNIT_ASSERT_EQUAL(1, vault.ran.load());
+  }
+
+  // Guards against a refusal of a request that ran, and one without a time to
+  // come back.
+  void refusalIsTrue()
+  {
+    start(1);
+    ServerStandIn& vault = *m_servers.back();
+    vault.mode = ServerStandIn::Mode::Shedding;
+    const ExchangeResult result = query(0, "/once/x");
+    CPPUNIT_ASSERT_EQUAL(503U, result.response.result_int());
+    CPPUNIT_ASSERT(!headerValue(result.response.base(), "Retry-After").empty());
+    CPPUNIT_ASSERT_EQUAL(0, vault.ran.load());
+  }
+
+  // Guards against a host that acts on an old configuration, or goes back.
+  void takesNewConfigurations()
+  {
+    start(2);
+    for (std::uint64_t version = 2; version < 12; ++version) {
+      m_store->put("op/config", configuration(version, 1000, version));
+    }
+    for (int node = 0; node < 2; ++node) {
+      CPPUNIT_ASSERT(waitFor(
+        [&] { return query(node, "/v11/x").response.result_int() == 200; },
+        milliseconds(2500)));
+      CPPUNIT_ASSERT_EQUAL(404U, query(node, "/v10/x").response.result_int());
+    }
+  }
+
+  // Guards against new work for a server that leaves.
+  void leavesDrainingServer()
+  {
+    start(2);
+    ServerStandIn& leaving = *m_servers[0];
+    m_store->put("servers/i-0", serverEntry("s0", 0, "dc-a", "draining"));
+    std::this_thread::sleep_for(milliseconds(1500));
+    const int before = leaving.ran;
+    for (int i = 0; i < 10; ++i) {
+      CPPUNIT_ASSERT_EQUAL(kShards, stamps(query(i % 2, "/all/x").response));
+    }
+    CPPUNIT_ASSERT_EQUAL(before, leaving.ran.load());
+  }
+
+  // Guards against new work for a data centre that operators took out.
+  void leavesEvacuatedDataCentre()
+  {
+    start(2);
+    m_store->put("op/evacuate/dc-b", "{}");
+    std::this_thread::sleep_for(milliseconds(1500));
+    int before = 0;
+    for (const auto& server : m_servers) {
+      before += isIn(*server, "dc-b") ? server->ran.load() : 0;
+    }
+    for (int i = 0; i < 6; ++i) {
+      query(i % 2, "/all/x");
+    }
+    int after = 0;
+    for (const auto& server : m_servers) {
+      after += isIn(*server, "dc-b") ? server->ran.load() : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(before, after);
+    m_store->remove("op/evacuate/dc-b");
+    CPPUNIT_ASSERT(
+      waitFor([&] { return stamps(query(0, "/all/x").response) == kShards; },
+              milliseconds(3000)));
+  }
+
+  // Guards against a host that the platform refuses and that serves nothing,
+  // or never learns of a change.
+  void followsPeerWithoutThePlatform()
+  {
+    m_nodes.push_back(std::make_unique<TestNode>(0, kStore, kShortGraceS));
+    CPPUNIT_ASSERT(waitFor([&] { return isReady(0); }, milliseconds(3000)));
+    // Nobody listens at this address.
+    m_nodes.push_back(
+      std::make_unique<TestNode>(1, "127.63.9.99", kShortGraceS));
+    CPPUNIT_ASSERT(waitFor([&] { return isReady(1); }, milliseconds(3000)));
+    CPPUNIT_ASSERT_EQUAL(kShards, stamps(query(1, "/all/x").response));
+    m_store->put("op/config", configuration(5, 1000, 5));
+    CPPUNIT_ASSERT(
+      waitFor([&] { return query(1, "/v5/x").response.result_int() == 200; },
+              milliseconds(3000)));
+    // Without the platform, a start finds everything at its peers.
+    m_store->setDown(true);
+    m_nodes.pop_back();
+    m_nodes.push_back(std::make_unique<TestNode>(1, kStore, kShortGraceS));
+    CPPUNIT_ASSERT(waitFor([&] { return isReady(1); }, milliseconds(3000)));
+    CPPUNIT_ASSERT_EQUAL(200U, query(1, "/v5/x").response.result_int());
+  }
+
+  // Guards against callers that are sent to a host that is gone.
+  void directoryDropsHostThatLeaves()
+  {
+    start(2);
+    CPPUNIT_ASSERT(waitFor(
+      [&] { return resolve(0).find(nodeAddress(1)) != std::string::npos; },
+      milliseconds(3000)));
+    m_nodes.pop_back();
+    CPPUNIT_ASSERT(resolve(0).find(nodeAddress(1)) == std::string::npos);
+    CPPUNIT_ASSERT(resolve(0).find(nodeAddress(0)) != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(kShards, stamps(query(0, "/all/x").response));
+  }
+
+  // Guards against a request that a planned stop cuts, taken from a caller or
+  // for a peer.
+  void shutdownCutsNoRequest()
+  {
+    start(2, kGraceS);
+    query(0, "/all/x");
+    for (const auto& server : m_servers) {
+      server->delayMs = 150;
+    }
+    std::atomic<int> whole{ 0 };
+    std::atomic<int> sent{ 0 };
+    std::thread caller([&] {
+      for (int i = 0; i < 12; ++i) {
+        ++sent;
+        const ExchangeResult result = query(i % 2, "/slow/x");
+        whole += result.end == ExchangeEnd::Answered &&
+                     result.response.result_int() == 200
+                   ? 1
+                   : 0;
+      }
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    m_nodes.pop_back();
+    caller.join();
+    CPPUNIT_ASSERT_EQUAL(sent.load(), whole.load());
+  }
+
+private:
+  template<class Condition>
+  static bool waitFor(Condition aCondition, milliseconds aLimit)
+  {
+    const auto limit = steady_clock::now() + aLimit;
+    while (!aCondition()) {
+      if (steady_clock::now() > limit) {
+        return false;
+      }
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    return true;
+  }
+
+  void addServer(const std::string& aService,
+                 int aIndex,
+                 const std::string& aDc)
+  {
+    std::string body;
+    for (int i = 0; i < 4; ++i) {
+      std::string record =
+        aService + "-" + std::to_string((aIndex / 2 * 7 + i) % 10);
+      record.resize(kRecordBytes, '.');
+      body += record;
+    }
+    m_servers.push_back(
+      std::make_unique<ServerStandIn>(*m_thread,
+                                      "i-" + std::to_string(aIndex),
+                                      serverAddress(aIndex),
+                                      kServerPort,
+                                      body));
+    m_centres["i-" + std::to_string(aIndex)] = aDc;
+    m_store->put("servers/i-" + std::to_string(aIndex),
+                 serverEntry(aService, aIndex, aDc, "ready"));
+  }
+
+  static std::string serverAddress(int aIndex)
+  {
+    return "127.63.2." + std::to_string(aIndex + 1);
+  }
+
+  static std::string serverEntry(const std::string& aService,
+                                 int aIndex,
+                                 const std::string& aDc,
+                                 const std::string& aState)
+  {
+    return R"({"service":")" + aService + R"(","address":")" +
+           serverAddress(aIndex) + ":" + std::to_string(kServerPort) +
+           R"(","zone":")" + aDc + R"(","version":"v1","slots":3,"state":")" +
+           aState + R"(","warmup_left_ms":0,"sequence":1,"born":1})";
+  }
+
+  /// @param[in] aExtra adds a route /vN/
+  static std::string configuration(std::uint64_t aVersion,
+                                   int aDeadlineMs,
+                                   std::uint64_t aExtra = 0)
+  {
+    std::string shards;
+    std::string services;
+    for (int i = 0; i < kShards; ++i) {
+      const std::string name = "s" + std::to_string(i);
+      shards += (i > 0 ? ",\"" : "\"") + name + "\"";
+      services += R"({"name":")" + name + R"(","max_connections":30},)";
+    }
+    const std::string limit = std::to_string(aDeadlineMs);
+    const auto gather = [&](const std::string& aName, const char* aAim) {
+      return R"({"name":"r-)" + aName + R"(","host":"h.example","prefix":"/)" +
+             aName + R"(/","route_type":"idempotent","timeout_ms":)" + limit +
+             R"(,"target_latency_ms":)" + aAim +
+             R"(,"max_attempts":2,"top_k":6,"min_coverage":0.8,"gather":[)" +
+             shards + "]}";
+    };
+    std::string routes = gather("all", "300") + "," + gather("slow", "900") +
+                         R"(,{"name":"r-once","host":"h.example",)" +
+                         R"("prefix":"/once/","route_type":"non_idempotent",)" +
+                         R"("timeout_ms":)" + limit +
+                         R"(,"target_latency_ms":300,"max_attempts":2,)" +
+                         R"("service":"vault"})";
+    if (aExtra != 0) {
+      routes += "," + gather("v" + std::to_string(aExtra), "300");
+    }
+    return R"({"version":)" + std::to_string(aVersion) + R"(,"routes":[)" +
+           routes + R"(],"services":[)" + services +
+           R"({"name":"vault","max_connections":30}]})";
+  }
+
+  void start(int aNodes, int aGraceS = kShortGraceS)
+  {
+    for (int i = 0; i < aNodes; ++i) {
+      m_nodes.push_back(std::make_unique<TestNode>(i, kStore, aGraceS));
+    }
+    for (int i = 0; i < aNodes; ++i) {
+      CPPUNIT_ASSERT(waitFor([&] { return isReady(i); }, milliseconds(4000)));
+    }
+    // Until the hosts know of each other and have connections.
+    std::this_thread::sleep_for(milliseconds(400));
+  }
+
+  ExchangeResult call(const std::string& aAddress,
+                      std::uint16_t aPort,
+                      HttpCall aCall)
+  {
+    auto promise = std::make_shared<std::promise<ExchangeResult>>();
+    auto pool = m_thread->sync([&] {
+      auto made = std::make_shared<HttpPool>(
+        m_thread->context(),
+        m_clock,
+        boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(aAddress),
+                                       aPort),
+        HttpClientSettings());
+      made->send(std::move(aCall), [promise](ExchangeResult aResult) {
+        promise->set_value(std::move(aResult));
+      });
+      return made;
+    });
+    ExchangeResult result = promise->get_future().get();
+    m_thread->sync([&] {
+      pool->retire();
+      pool.reset();
+      return 0;
+    });
+    return result;
+  }
+
+  ExchangeResult query(int aNode, const std::string& aTarget)
+  {
+    HttpCall made;
+    made.id = "q" + std::to_string(++m_queries);
+    made.head = "GET " + aTarget + " HTTP/1.1\r\nHost: h.example\r\n" +
+                "Request-Id: " + made.id + "\r\nDeadline-Ms: 1000\r\n\r\n";
+    return call(nodeAddress(aNode), kCallerPort, made);
+  }
+
+  bool isReady(int aNode)
+  {
+    HttpCall made;
+    made.head = "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n";
+    const ExchangeResult result =
+      call(nodeAddress(aNode), kReadinessPort, made);
+    return result.end == ExchangeEnd::Answered &&
+           result.response.result_int() == 200;
+  }
+
+  std::string resolve(int aNode)
+  {
+    HttpCall made;
+    made.head = "GET /resolve?name=h.example&region=r&zone=dc-a HTTP/1.1\r\n"
+                "Host: h\r\n\r\n";
+    return call(nodeAddress(aNode), kDirectoryPort, made).response.body();
+  }
+
+  static int stamps(const HttpResponse& aResponse)
+  {
+    const std::string_view list = headerValue(aResponse.base(), "Part-Stamps");
+    return list.empty()
+             ? 0
+             : static_cast<int>(std::count(list.begin(), list.end(), ',')) + 1;
+  }
+
+  bool isIn(const ServerStandIn& aServer, const std::string& aDc) const
+  {
+    return m_centres.at(aServer.id) == aDc;
+  }
+
+  /// @returns the greatest records of one server of each shard
+  std::string expected() const
+  {
+    std::vector<std::string_view> bodies;
+    for (int shard = 0; shard < kShards; ++shard) {
+      bodies.push_back(m_servers[static_cast<std::size_t>(shard) * 2]->body);
+    }
+    return mergeRecords(bodies, 6);
+  }
+
+  SystemClock m_clock;
+  std::unique_ptr<StandInThread> m_thread;
+  std::unique_ptr<StoreStandIn> m_store;
+  std::vector<std::unique_ptr<ServerStandIn>> m_servers;
+  std::map<std::string, std::string> m_centres; ///< by server id
+  std::vector<std::unique_ptr<TestNode>> m_nodes;
+  std::atomic<int> m_queries{ 0 };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformPathTest);
