--- a/src/roster.cpp
+++ b/src/roster.cpp
@@ -22,13 +22,23 @@
 constexpr std::size_t kHostsInDatagram = 14;
 /// Later on, introductions only repair what was lost: gossip tells who lives.
 constexpr std::size_t kHostsLater = 4;
+/// Age up to which word of a host is passed on.
+constexpr std::chrono::seconds kFresh{ 15 };
+
+/// One host in an introduction.
+struct Introduced
+{
+  Host host;
+  std::uint8_t ageS = 0; ///< seconds since its own word
+};
 
 /// What hosts tell each other of themselves and others.
 struct Introduction
 {
   std::uint8_t kind = kIntroductionKind;
-  std::uint8_t asks = 0;   ///< the sender wants an introduction back
-  std::vector<Host> hosts; ///< the sender first
+  std::uint8_t asks = 0;         ///< the sender wants an introduction back
+  std::uint16_t known = 0;       ///< hosts that the sender knows
+  std::vector<Introduced> hosts; ///< the sender first
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -37,11 +47,12 @@
     auto size = static_cast<std::uint8_t>(hosts.size());
     aArchive(size);
     hosts.resize(size);
-    for (Host& host : hosts) {
+    for (Introduced& entry : hosts) {
+      Host& host = entry.host;
       wireShortText(aArchive, host.name);
       wireShortText(aArchive, host.dataCentre);
       wireShortText(aArchive, host.address);
-      aArchive(host.httpPort, host.peerPort, host.capacity);
+      aArchive(host.httpPort, host.peerPort, host.capacity, entry.ageS);
     }
   }
 };
@@ -132,24 +143,28 @@
   message.asks = aAsk ? 1 : 0;
   message.known = static_cast<std::uint16_t>(
     std::min<std::size_t>(size(), std::numeric_limits<std::uint16_t>::max()));
-  message.hosts.push_back(m_self);
+  message.hosts.push_back({ m_self, 0 });
   // Only hosts heard of lately: passing on old word would keep a host that is
   // gone in every roster for ever.
   const TimePoint now = m_clock.now();
-  std::vector<const Host*> others;
+  std::vector<Introduced> others;
   for (const auto& entry : m_hosts) {
-    if (now - entry.second.heard < kForgetAfter / 4) {
-      others.push_back(&entry.second.host);
+    const Duration age = now - entry.second.heard;
+    if (age < kFresh) {
+      const auto seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(age).count() + 1;
+      others.push_back(
+        { entry.second.host, static_cast<std::uint8_t>(seconds) });
     }
   }
   std::shuffle(others.begin(), others.end(), m_random);
   const bool starting = now - m_learnt < kStartingTime;
   const std::size_t most = starting || !aAsk ? kHostsInDatagram : kHostsLater;
-  for (const Host* host : others) {
+  for (const Introduced& other : others) {
     if (message.hosts.size() >= most) {
       break;
     }
-    message.hosts.push_back(*host);
+    message.hosts.push_back(other);
   }
   m_sender.sendDatagram(aTo, encode(message));
 }
@@ -167,9 +182,8 @@
     return;
   }
   const TimePoint now = m_clock.now();
-  for (std::size_t i = 0; i < message->hosts.size(); ++i) {
-    // Hearsay counts for less than half of a host's own word.
-    learn(message->hosts[i], i == 0 ? now : now - kForgetAfter / 2);
+  for (const Introduced& entry : message->hosts) {
+    learn(entry.host, now - std::chrono::seconds(entry.ageS));
   }
   if (message->known > size()) {
     m_learnt = now; // there is more to hear of
