--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -26,6 +26,7 @@
   settings.address = aSettings.address;
   settings.port = aSettings.callerPort;
   settings.relayPort = static_cast<std::uint16_t>(aSettings.peerPort + 1);
+  settings.metricsPort = aSettings.metricsPort;
   settings.dataCentre = aSettings.dataCentre;
   settings.budget = aSettings.budget;
   settings.seed = aSeed;
--- a/src/entry_settings_p.h
+++ b/src/entry_settings_p.h
@@ -23,8 +23,9 @@
   std::uint16_t callerPort = 0;
   std::uint16_t readinessPort = 0;
   std::uint16_t directoryPort = 0;
-  std::uint16_t peerPort = 0;    ///< TCP and UDP
-  std::uint32_t capacity = 1000; ///< thousandths of a core
+  std::uint16_t peerPort = 0;       ///< TCP and UDP; relays use the next one
+  std::uint16_t metricsPort = 9464; ///< the usual port of metrics pages
+  std::uint32_t capacity = 1000;    ///< thousandths of a core
   std::vector<PeerAddress> seeds;
   BudgetLimit budget;
   /// From SIGTERM until the process is killed.
--- a/src/gather_query.cpp
+++ b/src/gather_query.cpp
@@ -44,11 +44,8 @@
     if (self && !self->m_ended) {
       self->m_ended = true;
       self->cancelAll();
-      logAnswer(self->m_query,
-                self->m_services.clock.now(),
-                0,
-                "caller left",
-                self->details());
+      recordAnswer(
+        self->m_services, self->m_query, 0, "caller left", self->details());
     }
   });
   m_fanOut = std::make_shared<ShardFanOut>(
@@ -336,7 +333,7 @@
   cancelAll();
   const unsigned status = aResponse.result_int();
   m_query.exchange->reply(std::move(aResponse));
-  logAnswer(m_query, m_services.clock.now(), status, aReason, parts);
+  recordAnswer(m_services, m_query, status, aReason, parts);
 }
 
 /// @returns the counts that explain an answer, and the shards it lacks
--- a/src/query_context.cpp
+++ b/src/query_context.cpp
@@ -5,12 +5,15 @@
 namespace toucanridge {
 
 void
-logAnswer(const QueryContext& aQuery,
-          TimePoint aNow,
-          unsigned aStatus,
-          const char* aReason,
-          const std::string& aDetails)
+recordAnswer(const QueryServices& aServices,
+             const QueryContext& aQuery,
+             unsigned aStatus,
+             const char* aReason,
+             const std::string& aDetails)
 {
+  const TimePoint now = aServices.clock.now();
+  const Duration latency = now - aQuery.exchange->receivedAt();
+  aServices.metrics.onAnswer(aQuery.route->name, aStatus, aReason, latency);
   if (!logEnabled(LogLevel::Info)) {
     return;
   }
@@ -23,8 +26,8 @@
              .add("route", aQuery.route->name)
              .add("version", aQuery.routing->version())
              .add("status", aStatus)
-             .add("us", micros(aNow - aQuery.exchange->receivedAt()))
-             .add("left_us", micros(aQuery.deadline - aNow))
+             .add("us", micros(latency))
+             .add("left_us", micros(aQuery.deadline - now))
              .addText("reason", aReason)
              .addText("parts", aDetails));
 }
--- a/src/query_context_p.h
+++ b/src/query_context_p.h
@@ -13,6 +13,7 @@
 #include "http_server_p.h"
 #include "relay_client_p.h"
 #include "routing_p.h"
+#include "traffic_metrics_p.h"
 #include "traffic_protocol_p.h"
 
 namespace toucanridge {
@@ -26,6 +27,7 @@
   Dispatcher& dispatcher;
   RelayClient& relays;
   const std::string& dataCentre; ///< of this host
+  TrafficMetrics& metrics;
 };
 
 /// One caller's request and the configuration that governs it to its end.
@@ -45,13 +47,14 @@
   }
 };
 
-/// Writes the line that explains a request's answer.
+/// Counts a request's answer and writes the line that explains it.
+/// @param[in] aStatus of the answer, 0 when the caller left before it
 void
-logAnswer(const QueryContext& aQuery,
-          TimePoint aNow,
-          unsigned aStatus,
-          const char* aReason,
-          const std::string& aDetails);
+recordAnswer(const QueryServices& aServices,
+             const QueryContext& aQuery,
+             unsigned aStatus,
+             const char* aReason,
+             const std::string& aDetails);
 
 /// Time after which a refused caller should come back: long enough for a short
 /// overload to pass, short enough to leave it time for the second try.
--- a/src/single_query.cpp
+++ b/src/single_query.cpp
@@ -28,8 +28,7 @@
     if (self && !self->m_ended) {
       self->m_ended = true;
       self->cancelAll();
-      logAnswer(
-        self->m_query, self->m_services.clock.now(), 0, "caller left", "");
+      recordAnswer(self->m_services, self->m_query, 0, "caller left", "");
     }
   });
   m_services.dispatcher.onRequest(m_service);
@@ -170,7 +169,7 @@
   for (const std::string& server : m_tried) {
     details += " " + server;
   }
-  logAnswer(m_query, m_services.clock.now(), status, aReason, details);
+  recordAnswer(m_services, m_query, status, aReason, details);
 }
 
 void
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -27,7 +27,8 @@
   , m_links(aContext, Hello{ aSettings.host, aSettings.seed })
   , m_relays(aClock, m_links, aSettings.host, aSettings.seed << 16U)
   , m_services{ aContext,     aClock,   aProtocol,
-                m_dispatcher, m_relays, m_settings.dataCentre }
+                m_dispatcher, m_relays, m_settings.dataCentre,
+                m_metrics }
   , m_worker(m_services,
              [this](const std::string& aRoute, std::uint64_t aGatherHash) {
                return findRoute(aRoute, aGatherHash);
@@ -35,6 +36,11 @@
   , m_server(aContext,
              aClock,
              [this](const HttpExchangePtr& aExchange) { onRequest(aExchange); })
+  , m_metricsServer(aContext,
+                    aClock,
+                    [this](const HttpExchangePtr& aExchange) {
+                      aExchange->reply(makeResponse(200, metricsText()));
+                    })
   , m_warmTimer(aContext)
 {
 }
@@ -70,6 +76,39 @@
   return error ? error : m_server.init(m_settings.address, m_settings.port);
 }
 
+std::string
+Traffic::metricsText()
+{
+  const DispatcherCounters& attempts = m_dispatcher.counters();
+  const auto set = [this](const char* aName, const char* aHelp, auto aValue) {
+    m_metrics.set(aName, aHelp, static_cast<double>(aValue));
+  };
+  set(
+    "toucanridge_first_attempts", "first attempts at servers", attempts.first);
+  set("toucanridge_extra_attempts", "hedges and retries", attempts.extra);
+  set("toucanridge_denied_attempts",
+      "hedges and retries that the budget refused",
+      attempts.denied);
+  set("toucanridge_running", "queries without an answer", m_server.running());
+  set("toucanridge_relayed", "peers' queries that run", m_worker.running());
+  set("toucanridge_connections",
+      "connections of callers",
+      m_server.connections());
+  set("toucanridge_server_connections_opened",
+      "connections opened to servers",
+      m_servers.connectionsOpened());
+  set("toucanridge_malformed",
+      "callers' requests that could not be read",
+      m_server.malformed());
+  set("toucanridge_log_lines_dropped",
+      "log lines dropped because the queue was full",
+      logDropped());
+  set("toucanridge_version",
+      "version of the configuration in force",
+      m_view.routing ? m_view.routing->version() : 0);
+  return m_metrics.text();
+}
+
 void
 Traffic::warmLater()
 {
@@ -87,6 +126,7 @@
 {
   m_warmTimer.cancel();
   m_links.shutdown();
+  m_metricsServer.shutdown();
   m_server.shutdown();
 }
 
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -44,6 +44,7 @@
   std::string address;
   std::uint16_t port = 0;
   std::uint16_t relayPort = 0;
+  std::uint16_t metricsPort = 0;
   std::string dataCentre;
   BudgetLimit budget;
   std::uint64_t seed = 0;
@@ -87,6 +88,7 @@
   RelayWorker::FoundRoute findRoute(const std::string& aRoute,
                                     std::uint64_t aGatherHash);
   void warmLater();
+  std::string metricsText();
   RouteState& stateOf(const Route& aRoute);
   void forgetRoutes();
 
@@ -97,9 +99,11 @@
   Dispatcher m_dispatcher;
   PeerLinks m_links;
   RelayClient m_relays;
+  TrafficMetrics m_metrics;
   QueryServices m_services;
   RelayWorker m_worker;
   HttpServer m_server;
+  HttpServer m_metricsServer;
   /// Newest last; a peer may be a few versions behind or ahead.
   std::deque<std::shared_ptr<const RoutingTable>> m_versions;
   TrafficView m_view;
