--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -9,6 +9,9 @@
 namespace toucanridge {
 namespace {
 
+/// A server that is down fails every attempt; the metrics count all of them.
+constexpr std::uint32_t kFailureLinesPerSecond = 40;
+
 /// @returns the first servers of a scope, in an order that depends on what is
 ///          published alone
 std::vector<ServerEntryPtr>
@@ -76,6 +79,7 @@
   , m_protocol(aProtocol)
   , m_servers(aServers)
   , m_limit(aBudget)
+  , m_failureLines(aClock, kFailureLinesPerSecond)
 {
 }
 
@@ -182,6 +186,7 @@
   attempt->m_clock = &m_clock;
   attempt->m_timing = &aOrder.timing;
   attempt->m_entry = aEntry;
+  attempt->m_requestId = aOrder.terms.requestId;
   attempt->m_sentAt = m_clock.now();
   attempt->m_running = true;
   ++aEntry->running;
@@ -199,6 +204,26 @@
   return attempt;
 }
 
+void
+Dispatcher::logFailure(const Attempt& aAttempt, const AttemptResult& aResult)
+{
+  if (!m_failureLines.allows()) {
+    return;
+  }
+  const auto latency =
+    std::chrono::duration_cast<std::chrono::microseconds>(aAttempt.latency());
+  logWrite(LogLevel::Info,
+           LogLine("attempt-failed")
+             .add("id", aAttempt.m_requestId)
+             .add("server", aResult.server)
+             .add("service", aAttempt.m_entry->server.service)
+             .add("end", toString(aResult.end))
+             .add("status", aResult.response.result_int())
+             .add("us", latency.count())
+             .addText("reason", aResult.reason)
+             .add("suppressed", m_failureLines.takeSuppressed()));
+}
+
 /// Says what a result means, and learns from it.
 AttemptResult
 Dispatcher::conclude(Attempt& aAttempt, ExchangeResult aResult)
@@ -237,14 +262,8 @@
       break;
   }
   ++m_counters.ends[static_cast<std::size_t>(result.end)];
-  if (result.end != AttemptEnd::Good && logEnabled(LogLevel::Debug)) {
-    logWrite(LogLevel::Debug,
-             LogLine("attempt-failed")
-               .add("server", entry.server.id)
-               .add("service", entry.server.service)
-               .add("end", toString(result.end))
-               .add("status", result.response.result_int())
-               .addText("reason", result.reason));
+  if (result.end != AttemptEnd::Good) {
+    logFailure(aAttempt, result);
   }
   return result;
 }
--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -15,6 +15,7 @@
 
 #include "answer_timing_p.h"
 #include "clock_p.h"
+#include "log_limit_p.h"
 #include "server_table_p.h"
 #include "shared_budget_p.h"
 #include "traffic_protocol_p.h"
@@ -98,6 +99,7 @@
   RouteTiming* m_timing = nullptr;
   ServerEntryPtr m_entry;
   HttpTicketPtr m_ticket;
+  std::string m_requestId;
   TimePoint m_sentAt;
   Duration m_latency{ 0 };
   bool m_running = false;
@@ -148,6 +150,7 @@
   AttemptPtr sendTo(const AttemptOrder& aOrder,
                     const ServerEntryPtr& aEntry,
                     Done aDone);
+  void logFailure(const Attempt& aAttempt, const AttemptResult& aResult);
   AttemptResult conclude(Attempt& aAttempt, ExchangeResult aResult);
   SharedBudget& budget(const std::string& aService);
 
@@ -159,6 +162,7 @@
   std::size_t m_sharers = 0;
   std::map<std::string, SharedBudget> m_budgets; ///< by service
   DispatcherCounters m_counters;
+  LogLimit m_failureLines;
 };
 
 } // namespace toucanridge
--- a/src/gather_query.cpp
+++ b/src/gather_query.cpp
@@ -356,7 +356,7 @@
   if (in.size() < shards.size()) {
     text += " lacking";
     for (std::size_t i = 0; i < shards.size(); ++i) {
-      text += in.count(i) == 0 ? " " + shards[i] : "";
+      text += in.count(i) == 0 ? " " + m_fanOut->trace(i) : "";
     }
   }
   return text;
--- a/src/relay_worker.cpp
+++ b/src/relay_worker.cpp
@@ -73,7 +73,15 @@
     advance();
   }
 
+  /// The asking host no longer needs the reply.
   void cancel()
+  {
+    logDone("cancelled");
+    end();
+  }
+
+private:
+  void end()
   {
     m_ended = true;
     m_timer.cancel();
@@ -81,7 +89,6 @@
     m_fanOut->cancel();
   }
 
-private:
   void advance()
   {
     if (!m_ended && m_fanOut->isDone()) {
@@ -140,29 +147,37 @@
   {
     const auto self = shared_from_this();
     sendReply(RelayState::Final);
-    logDone();
-    cancel();
+    logDone("replied");
+    end();
     m_worker.ended(m_key);
   }
 
-  void logDone() const
+  void logDone(const char* aOutcome) const
   {
     if (!logEnabled(LogLevel::Info)) {
       return;
     }
     const auto took = std::chrono::duration_cast<microseconds>(
       m_worker.m_services.clock.now() - m_begun);
+    std::string lacking;
+    for (const std::size_t shard : m_shards) {
+      if (!m_fanOut->isIn(shard)) {
+        lacking += (lacking.empty() ? "" : " ") + m_fanOut->trace(shard);
+      }
+    }
     logWrite(LogLevel::Info,
              LogLine("relay")
                .add("id", m_terms.requestId)
                .add("peer", m_key.first)
+               .add("outcome", aOutcome)
                .add("route", m_found.route->name)
                .add("version", m_found.routing->version())
                .add("us", took.count())
                .add("in", m_fanOut->in())
                .add("asked", m_shards.size())
                .add("hedges", m_fanOut->hedges())
-               .add("retries", m_fanOut->retries()));
+               .add("retries", m_fanOut->retries())
+               .addText("lacking", lacking));
   }
 
   RelayWorker& m_worker;
--- a/src/shard_fan_out.cpp
+++ b/src/shard_fan_out.cpp
@@ -91,6 +91,19 @@
   return m_parts.at(aShard).signature;
 }
 
+std::string
+ShardFanOut::trace(std::size_t aShard) const
+{
+  std::string text = m_order.route.shards[aShard];
+  const auto found = m_parts.find(aShard);
+  if (found != m_parts.end()) {
+    for (const std::string& server : found->second.tried) {
+      text += "/" + server;
+    }
+  }
+  return text;
+}
+
 /// @returns true when one more server may run a part
 bool
 ShardFanOut::mayRunOnce(const Part& aPart) const
--- a/src/shard_fan_out_p.h
+++ b/src/shard_fan_out_p.h
@@ -49,6 +49,8 @@
   bool anyRan() const { return m_anyRan; }
   std::string_view body(std::size_t aShard) const;
   const std::string& signature(std::size_t aShard) const;
+  /// @returns the shard and the servers that were asked, for the log
+  std::string trace(std::size_t aShard) const;
   std::size_t hedges() const { return m_hedges; }
   std::size_t retries() const { return m_retries; }
 
