--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -79,6 +79,7 @@
   , m_protocol(aProtocol)
   , m_servers(aServers)
   , m_limit(aBudget)
+  , m_started(aClock.now())
   , m_failureLines(aClock, kFailureLinesPerSecond)
 {
 }
@@ -88,7 +89,9 @@
 {
   auto found = m_budgets.find(aService);
   if (found == m_budgets.end()) {
-    found = m_budgets.emplace(aService, SharedBudget(m_clock, m_limit)).first;
+    found =
+      m_budgets.emplace(aService, SharedBudget(m_clock, m_limit, m_started))
+        .first;
     found->second.setSharers(m_sharers);
   }
   return found->second;
--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -159,6 +159,7 @@
   const TrafficProtocolI& m_protocol;
   ServerTable& m_servers;
   const BudgetLimit m_limit;
+  const TimePoint m_started;
   std::size_t m_sharers = 0;
   std::map<std::string, SharedBudget> m_budgets; ///< by service
   DispatcherCounters m_counters;
--- a/src/shared_budget.cpp
+++ b/src/shared_budget.cpp
@@ -14,17 +14,22 @@
 
 } // namespace
 
-SharedBudget::SharedBudget(const ClockI& aClock, const BudgetLimit& aLimit)
+SharedBudget::SharedBudget(const ClockI& aClock,
+                           const BudgetLimit& aLimit,
+                           TimePoint aSince)
   : m_clock(aClock)
   , m_limit(aLimit)
-  , m_refilled(aClock.now())
+  , m_refilled(aSince)
 {
 }
 
 void
 SharedBudget::setSharers(std::size_t aSharers)
 {
-  refill();
+  const bool first = m_share == 0.0;
+  if (!first) {
+    refill();
+  }
   m_share = aSharers == 0
               ? 0.0
               : kUsable * m_limit.slack / static_cast<double>(aSharers);
--- a/src/shared_budget_p.h
+++ b/src/shared_budget_p.h
@@ -25,7 +25,10 @@
 class SharedBudget
 {
 public:
-  SharedBudget(const ClockI& aClock, const BudgetLimit& aLimit);
+  /// @param[in] aSince when this host started
+  SharedBudget(const ClockI& aClock,
+               const BudgetLimit& aLimit,
+               TimePoint aSince);
 
   /// @param[in] aSharers hosts that divide the slack, 0 when this host has no
   ///            share of it and lives on its requests alone
--- a/tests/shared_budget_test.cpp
+++ b/tests/shared_budget_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(SharedBudgetTest);
   CPPUNIT_TEST(holdsOverAnyWindow);
   CPPUNIT_TEST(holdsWhenAllRestart);
+  CPPUNIT_TEST(earnsFromTheStartOfTheHost);
   CPPUNIT_TEST(livesOnRequestsWithoutShare);
   CPPUNIT_TEST(coldServerGetsItsShare);
   CPPUNIT_TEST_SUITE_END();
@@ -40,10 +41,25 @@
     }
   }
 
+  // Guards against a service that is used for the first time and has no budget,
+  // though the host has run for a while.
+  void earnsFromTheStartOfTheHost()
+  {
+    const TimePoint started = m_clock.now();
+    m_clock.advance(std::chrono::seconds(10));
+    SharedBudget budget(m_clock, m_limit, started);
+    budget.setSharers(7);
+    CPPUNIT_ASSERT(budget.take());
+    CPPUNIT_ASSERT(budget.take());
+    SharedBudget fresh(m_clock, m_limit, m_clock.now());
+    fresh.setSharers(7);
+    CPPUNIT_ASSERT(!fresh.take());
+  }
+
   // Guards against standby hosts that add a slack of their own.
   void livesOnRequestsWithoutShare()
   {
-    SharedBudget budget(m_clock, m_limit);
+    SharedBudget budget(m_clock, m_limit, m_clock.now());
     budget.setSharers(0);
     m_clock.advance(std::chrono::seconds(60));
     CPPUNIT_ASSERT(!budget.take());
@@ -90,7 +106,8 @@
     constexpr int kStepsInWindow = 100;
     std::mt19937 random(aSeed);
     const auto makeHosts = [this] {
-      std::vector<SharedBudget> hosts(kHosts, SharedBudget(m_clock, m_limit));
+      std::vector<SharedBudget> hosts(
+        kHosts, SharedBudget(m_clock, m_limit, m_clock.now()));
       for (SharedBudget& host : hosts) {
         host.setSharers(kHosts);
       }
