Stop: end within the grace time; logs reach their reader at once

The node itself ended 2.6 s after the signal; log4cplus' own clean-up then waited for threads that didn't end. It was hidden because the last lines stood in the buffer of standard output. Ruled out: requests that run, the blocking waits of the stop (now steps on the control thread's timer; no change by itself).

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -1,7 +1,5 @@
 #include "entry_node_p.h"
 
-#include <future>
-
 #include <boost/asio/post.hpp>
 
 #include "log_p.h"
@@ -63,6 +61,7 @@
       },
       [this] { return m_traffic.load(); })
   , m_trafficWork(m_trafficContext.get_executor())
+  , m_stopTimer(m_controlContext)
 {
 }
 
@@ -98,49 +97,68 @@
                     [this, aSettings] { m_control.reload(aSettings); });
 }
 
-std::size_t
-EntryNode::runningRequests()
+// The steps of a stop run on the control thread's timer, and the caller of
+// shutdown() waits for the thread to end.
+
+void
+EntryNode::stopLater(Duration aTime, void (EntryNode::*aStep)())
+{
+  m_stopTimer.expires_after(aTime);
+  m_stopTimer.async_wait(
+    [this, aStep](const boost::system::error_code& aError) {
+      if (!aError) {
+        (this->*aStep)();
+      }
+    });
+}
+
+void
+EntryNode::closeIdle()
 {
-  std::promise<std::size_t> running;
   boost::asio::post(m_trafficContext,
-                    [&] { running.set_value(m_traffic.running()); });
-  return running.get_future().get();
+                    [this] { m_traffic.server().closeIdle(); });
+  awaitRequests();
+}
+
+void
+EntryNode::awaitRequests()
+{
+  boost::asio::post(m_trafficContext, [this] {
+    const std::size_t running = m_traffic.running();
+    boost::asio::post(m_controlContext,
+                      [this, running] { onRunning(running); });
+  });
 }
 
 void
-EntryNode::waitForRequests(TimePoint aUntil)
+EntryNode::onRunning(std::size_t aRunning)
 {
-  while (m_clock.now() < aUntil && runningRequests() > 0) {
-    std::this_thread::sleep_for(kPoll);
+  if (aRunning > 0 && m_clock.now() < m_stopBy) {
+    stopLater(kPoll, &EntryNode::awaitRequests);
+    return;
   }
+  logWrite(LogLevel::Info,
+           LogLine("stop").add("phase", "ended").add("running", aRunning));
+  m_controlContext.stop();
 }
 
 void
 EntryNode::shutdown()
 {
-  const TimePoint begun = m_clock.now();
-  const TimePoint end = begun + m_settings.grace - kGraceMargin;
-  logWrite(LogLevel::Info, LogLine("stop").add("phase", "leaving"));
-  boost::asio::post(m_controlContext, [this] { m_control.leave(); });
-  boost::asio::post(m_trafficContext, [this] { m_traffic.server().drain(); });
-  std::this_thread::sleep_for(std::min<Duration>(kLeaveTime, end - begun));
-  boost::asio::post(m_trafficContext,
-                    [this] { m_traffic.server().closeIdle(); });
-  waitForRequests(end);
-  boost::asio::post(m_trafficContext, [this] {
-    m_traffic.server().stopAccepting();
-    m_traffic.server().closeIdle();
+  boost::asio::post(m_controlContext, [this] {
+    logWrite(LogLevel::Info, LogLine("stop").add("phase", "leaving"));
+    m_stopBy = m_clock.now() + m_settings.grace - kGraceMargin;
+    m_control.leave();
+    boost::asio::post(m_trafficContext, [this] { m_traffic.server().drain(); });
+    stopLater(std::min<Duration>(kLeaveTime, m_stopBy - m_clock.now()),
+              &EntryNode::closeIdle);
   });
-  waitForRequests(end);
-  logWrite(
-    LogLevel::Info,
-    LogLine("stop").add("phase", "ended").add("running", runningRequests()));
-  m_controlContext.stop();
-  m_trafficContext.stop();
   m_controlThread.join();
+  m_trafficContext.stop();
   m_trafficThread.join();
   m_control.shutdown();
   m_traffic.shutdown();
+  logWrite(LogLevel::Info, LogLine("stopped"));
 }
 
 } // namespace toucanridge
--- a/src/entry_node_p.h
+++ b/src/entry_node_p.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "entry_control_p.h"
 #include "entry_settings_p.h"
@@ -48,8 +49,10 @@
   using Guard =
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
-  std::size_t runningRequests();
-  void waitForRequests(TimePoint aUntil);
+  void stopLater(Duration aTime, void (EntryNode::*aStep)());
+  void closeIdle();
+  void awaitRequests();
+  void onRunning(std::size_t aRunning);
 
   const ClockI& m_clock;
   EntrySettings m_settings;
@@ -59,6 +62,8 @@
   Traffic m_traffic;
   EntryControl m_control;
   Guard m_trafficWork;
+  boost::asio::steady_timer m_stopTimer; ///< on the control thread
+  TimePoint m_stopBy;
   std::thread m_controlThread;
   std::thread m_trafficThread;
 };
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <iomanip>
+#include <iostream>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr std::size_t kQueueLines = 65536;
+constexpr std::chrono::milliseconds kBatchEvery{ 50 };
 
 struct Entry
 {
@@ -80,14 +82,18 @@
 
   bool push(Entry aEntry)
   {
+    bool wasEmpty = false;
     {
       const std::lock_guard<std::mutex> lock(m_mutex);
       if (m_queue.size() >= kQueueLines) {
         return false;
       }
+      wasEmpty = m_queue.empty();
       m_queue.push_back(std::move(aEntry));
     }
-    m_wake.notify_one();
+    if (wasEmpty) {
+      m_wake.notify_one();
+    }
     return true;
   }
 
@@ -106,7 +112,12 @@
       for (const Entry& entry : batch) {
         m_logger.log(toLog4cplus(entry.level), entry.text);
       }
+      // The appender leaves lines in the stream's buffer, where a killed
+      // process loses them.
+      std::cout.flush();
       lock.lock();
+      // One wake-up and one write serve all lines of this time.
+      m_wake.wait_for(lock, kBatchEvery, [this] { return m_stopping; });
     }
   }
 
@@ -140,9 +151,15 @@
 }
 
 void
-logShutdown()
+logFlush()
 {
   gWriter.reset();
+}
+
+void
+logShutdown()
+{
+  logFlush();
   gInitializer.reset();
 }
 
--- a/src/log_p.h
+++ b/src/log_p.h
@@ -51,6 +51,10 @@
 void
 logShutdown();
 
+/// Writes what is queued; later lines are not written.
+void
+logFlush();
+
 /// @returns true when lines of that level are written
 bool
 logEnabled(LogLevel aLevel);
