--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -23,6 +23,10 @@
 constexpr milliseconds kJoinTime{ 200 };
 /// Within this time a start has found the fleet and its configuration.
 constexpr milliseconds kStartTime{ 2000 };
+/// Hosts among which a starting one divides what all share. It doesn't know the
+/// others yet, and a fleet that starts together would open more connections
+/// than the servers allow.
+constexpr std::size_t kStartingSharers = 12;
 /// Members of the data centre that a reader tells of a change at once, and
 /// those that others tell.
 constexpr std::size_t kReaderFanOut = 8;
@@ -409,6 +413,9 @@
       view.peers.push_back(std::move(host));
     }
   }
+  if (m_clock.now() - m_started < kStartTime) {
+    view.entryHosts = std::max(view.entryHosts, kStartingSharers);
+  }
   m_onView(view);
 }
 
