--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -4,8 +4,15 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
 #include <sstream>
 
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include "entry_node_p.h"
 #include "platform_documents.h"
 #include "platform_fakes.h"
@@ -105,6 +112,7 @@
   CPPUNIT_TEST(followsPeerWithoutThePlatform);
   CPPUNIT_TEST(directoryDropsHostThatLeaves);
   CPPUNIT_TEST(shutdownCutsNoRequest);
+  CPPUNIT_TEST(programStopsOnSignals);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -327,6 +335,36 @@
     CPPUNIT_ASSERT_EQUAL(sent.load(), whole.load());
   }
 
+  // Guards against a program that outlives its grace time, or that a changed
+  // or broken settings file ends.
+  void programStopsOnSignals()
+  {
+    const std::string path =
+      "/tmp/toucanridge-platform-path-" + std::to_string(::getpid()) + ".conf";
+    std::ofstream(path) << settingsText(0, kStore, kShortGraceS);
+    const std::string program =
+      std::filesystem::canonical("/proc/self/exe").parent_path() /
+      "toucanridge";
+    const ::pid_t process = ::fork();
+    if (process == 0) {
+      ::setenv(platform::kSettingsVariable, path.c_str(), 1);
+      ::execl(program.c_str(), program.c_str(), "platform", nullptr);
+      ::_exit(127);
+    }
+    CPPUNIT_ASSERT(waitFor([&] { return isReady(0); }, milliseconds(4000)));
+    std::ofstream(path) << "broken";
+    ::kill(process, SIGHUP);
+    std::this_thread::sleep_for(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(200U, query(0, "/all/x").response.result_int());
+    ::kill(process, SIGTERM);
+    int status = 0;
+    CPPUNIT_ASSERT(
+      waitFor([&] { return ::waitpid(process, &status, WNOHANG) == process; },
+              std::chrono::seconds(kShortGraceS)));
+    CPPUNIT_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    std::remove(path.c_str());
+  }
+
 private:
   template<class Condition>
   static bool waitFor(Condition aCondition, milliseconds aLimit)
