--- a/tests/entry_choice_test.cpp
+++ b/tests/entry_choice_test.cpp
@@ -77,6 +77,7 @@
   void oneReaderUnlessInTrouble()
   {
     std::vector<ReaderCandidate> hosts;
+    hosts.reserve(14);
     for (int i = 0; i < 14; ++i) {
       hosts.push_back({ "host-" + std::to_string(i), false });
     }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -395,6 +395,7 @@
     RawServer server(m_context, [](int) { return RawServer::Step{}; });
     auto pool = makePool(server.endpoint());
     std::vector<HttpTicketPtr> tickets;
+    tickets.reserve(10);
     for (int i = 0; i < 10; ++i) {
       tickets.push_back(pool->send(makeCall(), [](const ExchangeResult&) {}));
     }
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -245,8 +245,8 @@
            "platform.address=10.200.1.7:8102\n";
   }
 
-  const Documents m_documents;
-  const Protocol m_protocol;
+  Documents m_documents;
+  Protocol m_protocol;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformAdapterTest);
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -533,6 +533,7 @@
   std::string expected() const
   {
     std::vector<std::string_view> bodies;
+    bodies.reserve(kShards);
     for (int shard = 0; shard < kShards; ++shard) {
       bodies.push_back(m_servers[static_cast<std::size_t>(shard) * 2]->body);
     }
