--- a/src/entry_settings_p.h
+++ b/src/entry_settings_p.h
@@ -18,7 +18,6 @@
 {
   std::string host;
   std::string dataCentre;
-  std::string region;
   std::string address; ///< IPv4
   std::uint16_t callerPort = 0;
   std::uint16_t readinessPort = 0;
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -55,7 +55,6 @@
   {
     return aServer.dataCentre == m_dataCentre;
   }
-  std::size_t size() const { return m_servers.size(); }
   /// @returns connections opened to servers since the start
   std::uint64_t connectionsOpened() const;
 
