--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -3,9 +3,9 @@
 # that are present are skipped.
 set -eu
 packages="g++ cmake make ninja-build ccache clang-format clang-tidy curl
-  libcpprest-dev libcereal-dev libboost-dev libboost-system-dev
+  libcereal-dev libboost-dev libboost-system-dev
   libboost-program-options-dev liblog4cplus-dev libcppunit-dev
-  libxxhash-dev libexpected-dev libssl-dev rapidjson-dev gnuplot-nox python3"
+  libxxhash-dev libexpected-dev rapidjson-dev gnuplot-nox python3"
 missing=""
 for package in $packages; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
--- a/src/backend_http_p.h
+++ b/src/backend_http_p.h
@@ -1,30 +1,33 @@
 #ifndef TOUCANRIDGE_BACKEND_HTTP_P_H
 #define TOUCANRIDGE_BACKEND_HTTP_P_H
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
-
-#include <boost/asio/io_context.hpp>
+#include <vector>
 
 #include "backend_p.h"
 
 namespace toucanridge {
 
-/// The adapter to backend servers: HTTP by cpprestsdk, one client object a
-/// slot. A slot has at most two connections: one in use, and one that is being
-/// closed. No request is sent twice by the library, and NotRun is reported only
-/// when no connection could be made or when the server said so.
+/// The adapter to backend servers: HTTP on threads of its own, one connection a
+/// slot. A server's slots are served by one thread. No request is sent twice,
+/// and NotRun is reported only when nothing was written or when the server said
+/// so.
 class BackendHttp final : public BackendI
 {
 public:
-  explicit BackendHttp(boost::asio::io_context& aContext);
+  /// @param[in] aThreads threads that serve connections, at least one
+  explicit BackendHttp(std::uint32_t aThreads);
   ~BackendHttp() override;
 
   std::uint64_t send(BackendCall aCall, Done aDone) override;
   void cancel(std::uint64_t aHandle) override;
 
 private:
-  struct State;
-  std::shared_ptr<State> m_state;
+  class Lane;
+  std::vector<std::unique_ptr<Lane>> m_lanes;
+  std::atomic<std::uint64_t> m_next{ 0 };
 };
 
 } // namespace toucanridge
--- a/src/caller_http.cpp
+++ b/src/caller_http.cpp
@@ -1,169 +1,190 @@
 #include "caller_http_p.h"
 
 #include <charconv>
+#include <future>
+#include <thread>
 
-#include <cpprest/http_listener.h>
-#include <cpprest/json.h>
+#include <boost/asio/post.hpp>
 
+#include "http_server_p.h"
+#include "http_thread_p.h"
+#include "json_p.h"
 #include "log_p.h"
 
 namespace toucanridge {
 namespace {
 
-namespace http = web::http;
-namespace json = web::json;
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
 
-void
-refuse(const http::http_request& aRequest,
-       http::status_code aStatus,
-       const std::string& aReason)
+/// Largest request header that a caller may send; queries travel in bodies.
+constexpr std::size_t kMaxHeaderBytes = 16384;
+/// How long a shutdown waits for callers to take answers that are ready.
+constexpr milliseconds kCloseTime{ 1000 };
+constexpr milliseconds kClosePoll{ 5 };
+
+HttpLimits
+callerLimits()
 {
-  logWrite(LogLevel::Warn,
-           LogLine("request-refused")
-             .add("status", aStatus)
-             .addText("path", aRequest.relative_uri().path())
-             .addText("reason", aReason));
-  json::value body = json::value::object();
-  body["outcome"] = json::value::string(toString(Outcome::NotRun));
-  body["reason"] = json::value::string(aReason);
-  http::http_response response(aStatus);
-  response.set_body(body);
-  response.headers().add("Connection", "close");
-  aRequest.reply(response);
+  HttpLimits limits;
+  limits.headerBytes = kMaxHeaderBytes;
+  limits.bodyBytes = kMaxCallerBodyBytes;
+  return limits;
 }
 
-/// Ends the reading of a body. cpprestsdk reads one of any length into memory,
-/// beside the handler; it gives up when the buffer takes no more.
-void
-stopReading(const http::http_request& aRequest)
+HttpResponse
+makeRefusal(const HttpRequest& aRequest,
+            unsigned aStatus,
+            const std::string& aReason)
 {
-  aRequest.body().streambuf().close(std::ios_base::out);
+  const auto target = aRequest.target();
+  logWrite(
+    LogLevel::Warn,
+    LogLine("request-refused")
+      .add("status", aStatus)
+      .addText("path", std::string(pathOf({ target.data(), target.size() })))
+      .addText("reason", aReason));
+  JsonWriter body;
+  body.beginObject();
+  body.text("outcome", toString(Outcome::NotRun));
+  body.text("reason", aReason);
+  body.endObject();
+  return makeJsonResponse(aStatus, body.str());
 }
 
-http::status_code
+unsigned
 statusOf(const QueryAnswer& aAnswer)
 {
   switch (aAnswer.outcome) {
     case Outcome::Whole:
     case Outcome::Partial:
-      return http::status_codes::OK;
+      return 200;
     case Outcome::NotRun:
-      return http::status_codes::ServiceUnavailable;
+      return 503;
     case Outcome::Unknown:
-      return http::status_codes::GatewayTimeout;
+      return 504;
   }
-  return http::status_codes::InternalError;
+  return 500;
 }
 
-json::value
-toJson(const QueryAnswer& aAnswer)
+void
+writeAddresses(JsonWriter& aBody, const AddressAnswer& aAnswer)
 {
-  json::value body = json::value::object();
-  body["request_id"] = json::value::string(aAnswer.requestId);
-  body["outcome"] = json::value::string(toString(aAnswer.outcome));
-  body["reason"] = json::value::string(aAnswer.reason);
-  body["coverage"]["answered"] = json::value::number(aAnswer.coverage.answered);
-  body["coverage"]["total"] = json::value::number(aAnswer.coverage.total);
-  body["snapshot"] = json::value::number(aAnswer.snapshot);
-  body["revision"] = json::value::number(aAnswer.revision);
-  std::vector<json::value> rules;
-  for (const GoverningRule& rule : aAnswer.rules) {
-    json::value entry = json::value::object();
-    entry["line"] = json::value::number(rule.line);
-    entry["text"] = json::value::string(rule.text);
-    entry["asked_by"] = json::value::string(rule.askedBy);
-    rules.push_back(entry);
-  }
-  body["rules"] = json::value::array(rules);
-  std::vector<json::value> parts;
-  for (const AnswerPart& part : aAnswer.parts) {
-    json::value entry = json::value::object();
-    entry["service"] = json::value::string(part.service);
-    entry["body"] = json::value::string(part.body);
-    parts.push_back(entry);
+  aBody.beginArray("addresses");
+  for (const CallerAddress& address : aAnswer.addresses) {
+    aBody.beginObject();
+    aBody.text("host", address.host);
+    aBody.text("data_centre", address.dataCentre);
+    aBody.text("address", address.address);
+    aBody.number("port", address.port);
+    aBody.endObject();
   }
-  body["parts"] = json::value::array(parts);
-  return body;
+  aBody.endArray();
 }
 
-json::value
-toJson(const AddressAnswer& aAnswer)
+void
+writeTickets(JsonWriter& aBody, const std::vector<std::string>& aTickets)
 {
-  json::value body = json::value::object();
-  body["revision"] = json::value::number(aAnswer.revision);
-  body["valid_ms"] =
-    json::value::number(static_cast<std::int64_t>(aAnswer.validFor.count()));
-  std::vector<json::value> addresses;
-  for (const CallerAddress& address : aAnswer.addresses) {
-    json::value entry = json::value::object();
-    entry["host"] = json::value::string(address.host);
-    entry["data_centre"] = json::value::string(address.dataCentre);
-    entry["address"] = json::value::string(address.address);
-    entry["port"] = json::value::number(address.port);
-    addresses.push_back(entry);
+  aBody.beginArray("tickets");
+  for (const std::string& ticket : aTickets) {
+    aBody.element(ticket);
   }
-  body["addresses"] = json::value::array(addresses);
-  return body;
+  aBody.endArray();
 }
 
-json::value
-ticketsJson(const std::vector<std::string>& aTickets)
+/// Writes the members of an answer into an open object.
+void
+writeAnswer(JsonWriter& aBody, const QueryAnswer& aAnswer)
 {
-  std::vector<json::value> list;
-  list.reserve(aTickets.size());
-  for (const std::string& ticket : aTickets) {
-    list.push_back(json::value::string(ticket));
+  aBody.text("request_id", aAnswer.requestId);
+  aBody.text("outcome", toString(aAnswer.outcome));
+  aBody.text("reason", aAnswer.reason);
+  aBody.beginObject("coverage");
+  aBody.number("answered", aAnswer.coverage.answered);
+  aBody.number("total", aAnswer.coverage.total);
+  aBody.endObject();
+  aBody.number("snapshot", aAnswer.snapshot);
+  aBody.number("revision", aAnswer.revision);
+  aBody.beginArray("rules");
+  for (const GoverningRule& rule : aAnswer.rules) {
+    aBody.beginObject();
+    aBody.number("line", rule.line);
+    aBody.text("text", rule.text);
+    aBody.text("asked_by", rule.askedBy);
+    aBody.endObject();
   }
-  return json::value::array(list);
+  aBody.endArray();
+  aBody.beginArray("parts");
+  for (const AnswerPart& part : aAnswer.parts) {
+    aBody.beginObject();
+    aBody.text("service", part.service);
+    aBody.text("body", part.body);
+    aBody.endObject();
+  }
+  aBody.endArray();
 }
 
-/// @returns a small number of the URI's query; 0 when it is malformed
+/// @returns a small number of a request's query; 0 when it is malformed
 std::uint32_t
-countOf(const std::map<std::string, std::string>& aQuery,
-        const char* aName,
-        std::uint32_t aDefault)
+countOf(std::string_view aTarget, const char* aName, std::uint32_t aDefault)
 {
-  const auto found = aQuery.find(aName);
-  if (found == aQuery.end()) {
+  const auto text = queryParameter(aTarget, aName);
+  if (!text) {
     return aDefault;
   }
-  const std::string& text = found->second;
   std::uint32_t value = 0;
-  const auto [end, error] =
-    std::from_chars(text.data(), text.data() + text.size(), value);
-  const bool whole = error == std::errc() && end == text.data() + text.size();
-  return whole ? value : 0;
+  const char* const last = text->data() + text->size();
+  const auto [end, error] = std::from_chars(text->data(), last, value);
+  return error == std::errc() && end == last ? value : 0;
 }
 
-/// Reads the JSON of a query.
-/// @throws json::json_exception on a missing or mistyped field
-QueryRequest
+/// @returns the query in a request's body, or what is wrong with it
+tl::expected<QueryRequest, std::string>
 parseQuery(const std::string& aBody)
 {
-  const json::value body = json::value::parse(aBody);
+  const auto body = parseJson(aBody);
+  if (!body) {
+    return tl::make_unexpected(body.error());
+  }
+  for (const char* name : { "class", "body" }) {
+    const Json* value = jsonMember(*body, name);
+    if (value == nullptr || !value->IsString()) {
+      return tl::make_unexpected("'" + std::string(name) + "' must be a text");
+    }
+  }
   QueryRequest request;
-  request.queryClass = body.at("class").as_string();
-  request.body = body.at("body").as_string();
-  if (body.has_field("ticket")) {
-    request.ticket = body.at("ticket").as_string();
+  request.queryClass = jsonText(*body, "class");
+  request.body = jsonText(*body, "body");
+  const Json* ticket = jsonMember(*body, "ticket");
+  if (ticket != nullptr && !ticket->IsString()) {
+    return tl::make_unexpected(std::string("'ticket' must be a text"));
+  }
+  request.ticket = jsonText(*body, "ticket");
+  const Json* deadline = jsonMember(*body, "deadline_ms");
+  if (deadline != nullptr && !deadline->IsInt()) {
+    return tl::make_unexpected(
+      std::string("'deadline_ms' must be a whole number"));
   }
-  if (body.has_field("deadline_ms")) {
-    request.deadline =
-      std::chrono::milliseconds(body.at("deadline_ms").as_integer());
+  if (deadline != nullptr) {
+    request.deadline = milliseconds(deadline->GetInt());
   }
   return request;
 }
 
 } // namespace
 
-struct CallerHttp::Impl
+struct CallerHttp::Impl : std::enable_shared_from_this<CallerHttp::Impl>
 {
   explicit Impl(CallerApiI& aApi)
     : api(aApi)
+    , server(thread.context(), clock, [this](const HttpExchangePtr& aExchange) {
+      dispatch(aExchange);
+    })
   {
+    server.setLimits(callerLimits());
   }
 
-  using Route = void (Impl::*)(const http::http_request&);
+  using Route = HttpResponse (Impl::*)(const HttpRequest&);
   struct Entry
   {
     const char* method;
@@ -172,22 +193,56 @@
   };
   static const Entry kRoutes[];
 
-  void dispatch(const http::http_request& aRequest);
-  void addresses(const http::http_request& aRequest);
-  void query(const http::http_request& aRequest);
-  void tickets(const http::http_request& aRequest);
-  void status(const http::http_request& aRequest);
-  void metrics(const http::http_request& aRequest);
-  void explain(const http::http_request& aRequest);
-  void rules(const http::http_request& aRequest);
+  void dispatch(const HttpExchangePtr& aExchange);
+  HttpResponse respond(const HttpRequest& aRequest);
+  void query(const HttpExchangePtr& aExchange);
+  HttpResponse render(const QueryAnswer& aAnswer);
+  HttpResponse addresses(const HttpRequest& aRequest);
+  HttpResponse tickets(const HttpRequest& aRequest);
+  HttpResponse status(const HttpRequest& aRequest);
+  HttpResponse metrics(const HttpRequest& aRequest);
+  HttpResponse explain(const HttpRequest& aRequest);
+  HttpResponse rules(const HttpRequest& aRequest);
+
+  /// Runs a call on the server's thread.
+  /// @returns what it returns
+  template<class Call>
+  auto onThread(Call aCall)
+  {
+    std::packaged_task<decltype(aCall())()> task(std::move(aCall));
+    auto result = task.get_future();
+    asio::post(thread.context(), [&task] { task(); });
+    return result.get();
+  }
 
+  SystemClock clock;
   CallerApiI& api;
-  std::unique_ptr<http::experimental::listener::http_listener> listener;
+  HttpThread thread;
+  HttpServer server;
+  bool listening = false;
 };
 
+namespace {
+
+constexpr const char* kQueryPath = "/v1/query";
+
+std::string_view
+targetOf(const HttpRequest& aRequest)
+{
+  return { aRequest.target().data(), aRequest.target().size() };
+}
+
+std::string_view
+methodOf(const HttpRequest& aRequest)
+{
+  const auto method = aRequest.method_string();
+  return { method.data(), method.size() };
+}
+
+} // namespace
+
 const CallerHttp::Impl::Entry CallerHttp::Impl::kRoutes[] = {
   { "GET", "/v1/addresses", &Impl::addresses },
-  { "POST", "/v1/query", &Impl::query },
   { "POST", "/v1/tickets", &Impl::tickets },
   { "GET", "/v1/status", &Impl::status },
   { "GET", "/metrics", &Impl::metrics },
@@ -196,172 +251,203 @@
 };
 
 void
-CallerHttp::Impl::dispatch(const http::http_request& aRequest)
+CallerHttp::Impl::dispatch(const HttpExchangePtr& aExchange)
+{
+  const HttpRequest& request = aExchange->request();
+  if (pathOf(targetOf(request)) == kQueryPath && methodOf(request) == "POST") {
+    query(aExchange);
+  } else {
+    aExchange->reply(respond(request));
+  }
+}
+
+HttpResponse
+CallerHttp::Impl::respond(const HttpRequest& aRequest)
 {
-  const std::string path = aRequest.relative_uri().path();
-  bool known = false;
+  const std::string_view path = pathOf(targetOf(aRequest));
+  bool known = path == kQueryPath;
   for (const Entry& route : kRoutes) {
     if (path == route.path) {
       known = true;
-      if (aRequest.method() == route.method) {
-        (this->*route.handle)(aRequest);
-        return;
+      if (methodOf(aRequest) == route.method) {
+        return (this->*route.handle)(aRequest);
       }
     }
   }
-  refuse(aRequest,
-         known ? http::status_codes::MethodNotAllowed
-               : http::status_codes::NotFound,
-         known ? "method not allowed" : "no such path");
+  return makeRefusal(
+    aRequest, known ? 405 : 404, known ? "method not allowed" : "no such path");
 }
 
-void
-CallerHttp::Impl::addresses(const http::http_request& aRequest)
+HttpResponse
+CallerHttp::Impl::addresses(const HttpRequest& aRequest)
 {
-  const auto query = web::uri::split_query(aRequest.relative_uri().query());
-  const auto dataCentre = query.find("data_centre");
-  const AddressAnswer answer = api.addresses(
-    dataCentre == query.end() ? std::string() : dataCentre->second);
-  json::value body = toJson(answer);
-  const std::uint32_t count = countOf(query, "tickets", 0);
+  const std::string_view target = targetOf(aRequest);
+  const AddressAnswer answer =
+    api.addresses(queryParameter(target, "data_centre").value_or(""));
+  JsonWriter body;
+  body.beginObject();
+  body.number("revision", answer.revision);
+  body.number("valid_ms", answer.validFor.count());
+  writeAddresses(body, answer);
+  const std::uint32_t count = countOf(target, "tickets", 0);
   if (count > 0) {
-    body["tickets"] = ticketsJson(api.tickets(count));
+    writeTickets(body, api.tickets(count));
   }
-  aRequest.reply(http::status_codes::OK, body);
+  body.endObject();
+  return makeJsonResponse(200, body.str());
 }
 
-void
-CallerHttp::Impl::tickets(const http::http_request& aRequest)
+HttpResponse
+CallerHttp::Impl::tickets(const HttpRequest& aRequest)
 {
-  const auto query = web::uri::split_query(aRequest.relative_uri().query());
-  const std::uint32_t count = countOf(query, "count", 1);
+  const std::uint32_t count = countOf(targetOf(aRequest), "count", 1);
   if (count == 0) {
-    refuse(aRequest, http::status_codes::BadRequest, "malformed count");
-    return;
+    return makeRefusal(aRequest, 400, "malformed count");
   }
-  json::value body = json::value::object();
-  body["tickets"] = ticketsJson(api.tickets(count));
-  aRequest.reply(http::status_codes::OK, body);
+  JsonWriter body;
+  body.beginObject();
+  writeTickets(body, api.tickets(count));
+  body.endObject();
+  return makeJsonResponse(200, body.str());
 }
 
 void
-CallerHttp::Impl::query(const http::http_request& aRequest)
+CallerHttp::Impl::query(const HttpExchangePtr& aExchange)
 {
-  // cpprestsdk would read a body of any length into memory.
-  if (!aRequest.headers().has("Content-Length") ||
-      aRequest.headers().content_length() > kMaxCallerBodyBytes) {
-    refuse(aRequest,
-           http::status_codes::RequestEntityTooLarge,
-           "a body of at most 1 MiB with a Content-Length is required");
-    stopReading(aRequest);
+  auto parsed = parseQuery(aExchange->request().body());
+  if (!parsed) {
+    aExchange->reply(makeRefusal(
+      aExchange->request(), 400, "malformed query: " + parsed.error()));
     return;
   }
-  // A request is a handle; the copy shares its body.
-  http::http_request request = aRequest;
-  request.extract_utf8string(true).then(
-    [this, aRequest](const pplx::task<std::string>& aBody) {
-      QueryRequest parsed;
-      try {
-        parsed = parseQuery(aBody.get());
-      } catch (const std::exception& error) {
-        refuse(aRequest,
-               http::status_codes::BadRequest,
-               std::string("malformed query: ") + error.what());
+  // The answer may come from any thread, also after a shutdown.
+  api.query(
+    std::move(*parsed),
+    [weakSelf = weak_from_this(),
+     weakExchange = std::weak_ptr(aExchange)](const QueryAnswer& aAnswer) {
+      const auto self = weakSelf.lock();
+      if (!self) {
         return;
       }
-      api.query(std::move(parsed), [this, aRequest](const QueryAnswer& aNswer) {
-        json::value body = toJson(aNswer);
-        if (aNswer.outcome == Outcome::NotRun && !api.takesWork()) {
-          body["addresses"] = toJson(api.addresses({}))["addresses"];
-        }
-        aRequest.reply(statusOf(aNswer), body);
-      });
+      asio::post(self->thread.context(),
+                 [weakExchange, response = self->render(aAnswer)]() mutable {
+                   if (const auto exchange = weakExchange.lock()) {
+                     exchange->reply(std::move(response));
+                   }
+                 });
     });
 }
 
-void
-CallerHttp::Impl::status(const http::http_request& aRequest)
+HttpResponse
+CallerHttp::Impl::render(const QueryAnswer& aAnswer)
 {
-  aRequest.reply(http::status_codes::OK, api.statusJson(), "application/json");
+  JsonWriter body;
+  body.beginObject();
+  writeAnswer(body, aAnswer);
+  if (aAnswer.outcome == Outcome::NotRun && !api.takesWork()) {
+    writeAddresses(body, api.addresses({}));
+  }
+  body.endObject();
+  return makeJsonResponse(statusOf(aAnswer), body.str());
 }
 
-void
-CallerHttp::Impl::metrics(const http::http_request& aRequest)
+HttpResponse
+CallerHttp::Impl::status(const HttpRequest& /*aRequest*/)
 {
-  aRequest.reply(
-    http::status_codes::OK, api.metricsText(), "text/plain; version=0.0.4");
+  return makeJsonResponse(200, api.statusJson());
 }
 
-void
-CallerHttp::Impl::explain(const http::http_request& aRequest)
+HttpResponse
+CallerHttp::Impl::metrics(const HttpRequest& /*aRequest*/)
+{
+  HttpResponse response = makeResponse(200, api.metricsText());
+  response.set("Content-Type", "text/plain; version=0.0.4");
+  return response;
+}
+
+HttpResponse
+CallerHttp::Impl::explain(const HttpRequest& aRequest)
 {
-  const auto query = web::uri::split_query(aRequest.relative_uri().query());
-  const auto id = query.find("request_id");
-  const auto queryClass = query.find("class");
+  const auto id = queryParameter(targetOf(aRequest), "request_id");
+  const auto queryClass = queryParameter(targetOf(aRequest), "class");
   std::string text;
-  if (id != query.end()) {
-    text = api.explainJson(web::uri::decode(id->second));
-  } else if (queryClass != query.end()) {
-    text = api.classJson(web::uri::decode(queryClass->second));
+  if (id) {
+    text = api.explainJson(*id);
+  } else if (queryClass) {
+    text = api.classJson(*queryClass);
   }
   if (text.empty()) {
-    refuse(aRequest,
-           http::status_codes::NotFound,
-           "no such request in this node's memory, or no such class");
-    return;
+    return makeRefusal(aRequest,
+                       404,
+                       "no such request in this node's memory, or no such "
+                       "class");
   }
-  aRequest.reply(http::status_codes::OK, text, "application/json");
+  return makeJsonResponse(200, std::move(text));
 }
 
-void
-CallerHttp::Impl::rules(const http::http_request& aRequest)
+HttpResponse
+CallerHttp::Impl::rules(const HttpRequest& /*aRequest*/)
 {
-  aRequest.reply(http::status_codes::OK, api.rulesJson(), "application/json");
+  return makeJsonResponse(200, api.rulesJson());
 }
 
 std::string
 renderAnswer(const QueryAnswer& aAnswer)
 {
-  return toJson(aAnswer).serialize();
+  JsonWriter body;
+  body.beginObject();
+  writeAnswer(body, aAnswer);
+  body.endObject();
+  return body.str();
 }
 
 CallerHttp::CallerHttp(CallerApiI& aApi)
-  : m_impl(std::make_unique<Impl>(aApi))
+  : m_impl(std::make_shared<Impl>(aApi))
 {
 }
 
-CallerHttp::~CallerHttp() = default;
+CallerHttp::~CallerHttp()
+{
+  shutdown();
+}
 
 std::error_code
 CallerHttp::init(const std::string& aAddress, std::uint16_t aPort)
 {
-  try {
-    m_impl->listener =
-      std::make_unique<http::experimental::listener::http_listener>(
-        "http://" + aAddress + ":" + std::to_string(aPort));
-    m_impl->listener->support(
-      [impl = m_impl.get()](const http::http_request& aRequest) {
-        impl->dispatch(aRequest);
-      });
-    m_impl->listener->open().wait();
-  } catch (const std::exception& error) {
+  const std::error_code error = m_impl->onThread(
+    [this, &aAddress, aPort] { return m_impl->server.init(aAddress, aPort); });
+  m_impl->listening = !error;
+  if (error) {
     logWrite(LogLevel::Error,
              LogLine("listen-failed")
                .add("address", aAddress)
                .add("port", aPort)
-               .addText("reason", error.what()));
-    return Errc::Unreachable;
+               .addText("reason", error.message()));
   }
-  return {};
+  return error;
 }
 
 void
 CallerHttp::shutdown()
 {
-  if (m_impl->listener) {
-    m_impl->listener->close().wait();
-    m_impl->listener.reset();
+  if (!m_impl->listening) {
+    return;
+  }
+  m_impl->listening = false;
+  HttpServer& server = m_impl->server;
+  m_impl->onThread([&server] {
+    server.stopAccepting();
+    server.drain();
+  });
+  const TimePoint limit = m_impl->clock.now() + kCloseTime;
+  while (m_impl->clock.now() < limit && m_impl->onThread([&server] {
+    server.closeIdle();
+    return server.connections() > 0;
+  })) {
+    std::this_thread::sleep_for(kClosePoll);
   }
+  m_impl->onThread([&server] { server.shutdown(); });
+  m_impl->thread.shutdown();
 }
 
 } // namespace toucanridge
--- a/src/caller_http_p.h
+++ b/src/caller_http_p.h
@@ -12,7 +12,7 @@
 /// Largest request body that a caller may send, in bytes.
 constexpr std::size_t kMaxCallerBodyBytes = 1U << 20U;
 
-/// The adapter to callers and operators: an HTTP listener of cpprestsdk.
+/// The adapter to callers and operators: an HTTP server on a thread of its own.
 class CallerHttp
 {
 public:
@@ -27,7 +27,7 @@
 
 private:
   struct Impl;
-  std::unique_ptr<Impl> m_impl;
+  std::shared_ptr<Impl> m_impl; ///< answers that are due may outlive this
 };
 
 /// @returns the answer as callers receive it, JSON text
--- a/src/client_http.cpp
+++ b/src/client_http.cpp
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 
-#include <cpprest/http_client.h>
-#include <cpprest/json.h>
+#include <boost/asio/io_context.hpp>
+
+#include "http_client_p.h"
 
 namespace toucanridge {
 namespace {
 
-namespace http = web::http;
-namespace json = web::json;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
@@ -18,21 +17,74 @@
 constexpr milliseconds kLongestQuery{ 61000 };
 /// How long the answer may take beyond the deadline that was sent.
 constexpr milliseconds kAnswerGrace{ 1000 };
-// cpprestsdk's message for a failed connect; its code doesn't tell it from a
-// connection that broke later.
-constexpr const char* kConnectFailed =
-  "Failed to connect to any resolved endpoint";
+/// The largest answers are those of rules and status, of a few megabytes in
+/// the largest fleet.
+constexpr std::size_t kMaxAnswerBytes = std::size_t(64) << 20U;
 /// Tickets asked for at once; a batch saves a round trip for each query.
 constexpr int kTicketBatch = 8;
 /// Tickets are used within this time; the issuer refuses them after 120 s.
 constexpr std::chrono::seconds kTicketUse{ 60 };
 
-http::client::http_client
-makeClient(const std::string& aAddress, milliseconds aTimeout)
+/// Sends one request and waits for its end.
+/// @returns the result; one without a response says why in its reason
+ExchangeResult
+exchange(const std::string& aAddress,
+         const char* aMethod,
+         const std::string& aTarget,
+         const std::string& aBody,
+         milliseconds aTimeout)
+{
+  ExchangeResult result;
+  const auto endpoint = parseEndpoint(aAddress);
+  if (!endpoint) {
+    result.reason = "not an address and port";
+    return result;
+  }
+  boost::asio::io_context context;
+  const SystemClock clock;
+  HttpClientSettings settings;
+  settings.connections = 1;
+  settings.bodyBytes = kMaxAnswerBytes;
+  const auto pool =
+    std::make_shared<HttpPool>(context, clock, *endpoint, settings);
+  HttpCall call;
+  call.head = std::string(aMethod) + " " + aTarget + " HTTP/1.1\r\n";
+  appendHeader(call.head, "Host", aAddress);
+  appendHeader(call.head, "Connection", "close");
+  if (!aBody.empty()) {
+    appendHeader(call.head, "Content-Type", "application/json");
+  }
+  appendHeader(call.head, "Content-Length", std::to_string(aBody.size()));
+  call.head += "\r\n";
+  call.body = aBody;
+  bool ended = false;
+  pool->send(std::move(call), [&result, &ended](ExchangeResult aResult) {
+    result = std::move(aResult);
+    ended = true;
+  });
+  const auto limit = steady_clock::now() + aTimeout;
+  while (!ended && context.run_one_until(limit) > 0) {
+  }
+  if (!ended) {
+    // The request may have been written.
+    result.end = ExchangeEnd::Broken;
+    result.reason = "no answer in time";
+  }
+  return result;
+}
+
+/// Sends one request and reads its answer as JSON, whatever its status.
+tl::expected<JsonDocument, std::string>
+exchangeJson(const std::string& aAddress,
+             const char* aMethod,
+             const std::string& aTarget)
 {
-  http::client::http_client_config config;
-  config.set_timeout(aTimeout);
-  return { web::uri("http://" + aAddress), config };
+  const ExchangeResult result =
+    exchange(aAddress, aMethod, aTarget, {}, kAddressTimeout);
+  if (result.end != ExchangeEnd::Answered) {
+    return tl::make_unexpected(std::string(result.reason));
+  }
+  return parseJson(result.response.body());
 }
 
 Outcome
@@ -47,67 +99,49 @@
   return Outcome::Unknown;
 }
 
-std::string
-textField(const json::value& aBody, const char* aName)
-{
-  return aBody.has_string_field(aName) ? aBody.at(aName).as_string()
-                                       : std::string();
-}
-
-std::uint64_t
-numberField(const json::value& aBody, const char* aName)
-{
-  return aBody.has_number_field(aName) ? aBody.at(aName).as_number().to_uint64()
-                                       : 0;
-}
-
 QueryAnswer
-parseAnswer(const json::value& aBody)
+parseAnswer(const Json& aBody)
 {
   QueryAnswer answer;
-  answer.requestId = textField(aBody, "request_id");
-  answer.outcome = parseOutcome(textField(aBody, "outcome"));
-  answer.reason = textField(aBody, "reason");
-  answer.snapshot = numberField(aBody, "snapshot");
-  answer.revision = numberField(aBody, "revision");
-  if (aBody.has_field("coverage")) {
-    const json::value& coverage = aBody.at("coverage");
+  answer.requestId = jsonText(aBody, "request_id");
+  answer.outcome = parseOutcome(jsonText(aBody, "outcome"));
+  answer.reason = jsonText(aBody, "reason");
+  answer.snapshot = jsonUnsigned(aBody, "snapshot");
+  answer.revision = jsonUnsigned(aBody, "revision");
+  if (const Json* coverage = jsonMember(aBody, "coverage")) {
     answer.coverage.answered =
-      static_cast<std::uint32_t>(numberField(coverage, "answered"));
+      static_cast<std::uint32_t>(jsonUnsigned(*coverage, "answered"));
     answer.coverage.total =
-      static_cast<std::uint32_t>(numberField(coverage, "total"));
+      static_cast<std::uint32_t>(jsonUnsigned(*coverage, "total"));
   }
-  if (aBody.has_array_field("rules")) {
-    for (const json::value& rule : aBody.at("rules").as_array()) {
-      answer.rules.push_back(
-        { static_cast<std::uint32_t>(numberField(rule, "line")),
-          textField(rule, "text"),
-          textField(rule, "asked_by") });
-    }
+  for (const Json& rule : jsonArray(aBody, "rules")) {
+    answer.rules.push_back(
+      { static_cast<std::uint32_t>(jsonUnsigned(rule, "line")),
+        jsonText(rule, "text"),
+        jsonText(rule, "asked_by") });
   }
-  if (aBody.has_array_field("parts")) {
-    for (const json::value& part : aBody.at("parts").as_array()) {
-      answer.parts.push_back(
-        { textField(part, "service"), textField(part, "body") });
-    }
+  for (const Json& part : jsonArray(aBody, "parts")) {
+    answer.parts.push_back(
+      { jsonText(part, "service"), jsonText(part, "body") });
   }
   return answer;
 }
 
-json::value
-toJson(const QueryRequest& aRequest)
+std::string
+makeQuery(const QueryRequest& aRequest)
 {
-  json::value body = json::value::object();
-  body["class"] = json::value::string(aRequest.queryClass);
-  body["body"] = json::value::string(aRequest.body);
+  JsonWriter body;
+  body.beginObject();
+  body.text("class", aRequest.queryClass);
+  body.text("body", aRequest.body);
   if (!aRequest.ticket.empty()) {
-    body["ticket"] = json::value::string(aRequest.ticket);
+    body.text("ticket", aRequest.ticket);
   }
   if (aRequest.deadline.count() > 0) {
-    body["deadline_ms"] =
-      json::value::number(static_cast<std::int64_t>(aRequest.deadline.count()));
+    body.number("deadline_ms", aRequest.deadline.count());
   }
-  return body;
+  body.endObject();
+  return body.str();
 }
 
 } // namespace
@@ -121,19 +155,19 @@
 /// Takes the addresses of an answer.
 /// @returns false when it names none
 bool
-Client::takeAddresses(const json::value& aBody)
+Client::takeAddresses(const Json& aBody)
 {
   std::vector<std::string> found;
-  for (const json::value& entry : aBody.at("addresses").as_array()) {
-    found.push_back(entry.at("address").as_string() + ":" +
-                    std::to_string(entry.at("port").as_integer()));
+  for (const Json& entry : jsonArray(aBody, "addresses")) {
+    found.push_back(jsonText(entry, "address") + ":" +
+                    std::to_string(jsonUnsigned(entry, "port")));
   }
   if (found.empty()) {
     return false;
   }
   m_addresses = std::move(found);
   m_validUntil =
-    steady_clock::now() + milliseconds(numberField(aBody, "valid_ms"));
+    steady_clock::now() + milliseconds(jsonUnsigned(aBody, "valid_ms"));
   return true;
 }
 
@@ -145,22 +179,17 @@
   }
   std::vector<std::string> sources = m_addresses;
   sources.insert(sources.end(), m_entries.begin(), m_entries.end());
+  std::string target =
+    "/v1/addresses?data_centre=" + percentEncode(m_dataCentre);
+  if (!m_ticketClasses.empty()) {
+    target += "&tickets=" + std::to_string(kTicketBatch);
+  }
   for (const std::string& source : sources) {
-    try {
-      auto client = makeClient(source, kAddressTimeout);
-      std::string path = "/v1/addresses?data_centre=" + m_dataCentre;
-      if (!m_ticketClasses.empty()) {
-        path += "&tickets=" + std::to_string(kTicketBatch);
-      }
-      const json::value body =
-        client.request(http::methods::GET, path).get().extract_json(true).get();
-      if (takeAddresses(body)) {
-        m_tickets.clear();
-        keepTickets(body, source);
-        return true;
-      }
-    } catch (const std::exception&) {
-      continue;
+    const auto body = exchangeJson(source, "GET", target);
+    if (body && takeAddresses(*body)) {
+      m_tickets.clear();
+      keepTickets(*body, source);
+      return true;
     }
   }
   return false;
@@ -172,18 +201,10 @@
   if (m_tickets.empty() || steady_clock::now() > m_ticketsUntil) {
     m_tickets.clear();
     for (const std::string& address : m_addresses) {
-      try {
-        auto client = makeClient(address, kAddressTimeout);
-        const json::value body =
-          client
-            .request(http::methods::POST,
-                     "/v1/tickets?count=" + std::to_string(kTicketBatch))
-            .get()
-            .extract_json(true)
-            .get();
-        keepTickets(body, address);
-      } catch (const std::exception&) {
-        continue;
+      const auto body = exchangeJson(
+        address, "POST", "/v1/tickets?count=" + std::to_string(kTicketBatch));
+      if (body) {
+        keepTickets(*body, address);
       }
       if (!m_tickets.empty()) {
         break;
@@ -199,13 +220,16 @@
 }
 
 void
-Client::keepTickets(const json::value& aBody, const std::string& aIssuer)
+Client::keepTickets(const Json& aBody, const std::string& aIssuer)
 {
-  if (!aBody.has_array_field("tickets")) {
+  const auto tickets = jsonArray(aBody, "tickets");
+  if (tickets.Empty()) {
     return;
   }
-  for (const json::value& ticket : aBody.at("tickets").as_array()) {
-    m_tickets.push_back(ticket.as_string());
+  for (const Json& ticket : tickets) {
+    if (ticket.IsString()) {
+      m_tickets.emplace_back(ticket.GetString(), ticket.GetStringLength());
+    }
   }
   m_ticketIssuer = aIssuer;
   m_ticketsUntil = steady_clock::now() + kTicketUse;
@@ -217,27 +241,26 @@
                  milliseconds aTimeout,
                  QueryAnswer& aAnswer)
 {
-  try {
-    auto client = makeClient(aAddress, aTimeout);
-    const json::value body =
-      client.request(http::methods::POST, "/v1/query", toJson(aRequest))
-        .get()
-        .extract_json(true)
-        .get();
-    aAnswer = parseAnswer(body);
-    if (aAnswer.outcome == Outcome::NotRun && body.has_field("addresses")) {
-      // The host takes no work now and ran nothing; it names others.
-      takeAddresses(body);
-      return Sent::Never;
-    }
-    return Sent::Answered;
-  } catch (const http::http_exception& error) {
-    aAnswer.reason = error.what();
-    return aAnswer.reason == kConnectFailed ? Sent::Never : Sent::Broken;
-  } catch (const std::exception& error) {
-    aAnswer.reason = error.what();
+  const ExchangeResult result =
+    exchange(aAddress, "POST", "/v1/query", makeQuery(aRequest), aTimeout);
+  if (result.end != ExchangeEnd::Answered) {
+    aAnswer.reason = result.reason;
+    return result.end == ExchangeEnd::ConnectFailed ||
+               result.end == ExchangeEnd::NotSent
+             ? Sent::Never
+             : Sent::Broken;
+  }
+  const auto body = parseJson(result.response.body());
+  if (!body) {
+    aAnswer.reason = body.error();
     return Sent::Broken;
   }
+  aAnswer = parseAnswer(*body);
+  if (aAnswer.outcome == Outcome::NotRun && takeAddresses(*body)) {
+    // The host takes no work now and ran nothing; it names others.
+    return Sent::Never;
+  }
+  return Sent::Answered;
 }
 
 /// Sends a query to one address after another until one answers. This is safe
@@ -330,19 +353,17 @@
 tl::expected<std::string, std::string>
 Client::get(const std::string& aEntry, const std::string& aPath)
 {
-  try {
-    auto client = makeClient(aEntry, kAddressTimeout);
-    const http::http_response response =
-      client.request(http::methods::GET, aPath).get();
-    const std::string body = response.extract_utf8string(true).get();
-    if (response.status_code() != http::status_codes::OK) {
-      return tl::make_unexpected(
-        "status " + std::to_string(response.status_code()) + ": " + body);
-    }
-    return body;
-  } catch (const std::exception& error) {
-    return tl::make_unexpected(std::string(error.what()));
+  const ExchangeResult result =
+    exchange(aEntry, "GET", aPath, {}, kAddressTimeout);
+  if (result.end != ExchangeEnd::Answered) {
+    return tl::make_unexpected(std::string(result.reason));
+  }
+  if (result.response.result_int() != 200) {
+    return tl::make_unexpected("status " +
+                               std::to_string(result.response.result_int()) +
+                               ": " + result.response.body());
   }
+  return result.response.body();
 }
 
 } // namespace toucanridge
--- a/src/client_http_p.h
+++ b/src/client_http_p.h
@@ -11,12 +11,7 @@
 #include <tl/expected.hpp>
 
 #include "caller_api_p.h"
-
-namespace web {
-namespace json {
-class value;
-}
-}
+#include "json_p.h"
 
 namespace toucanridge {
 
@@ -52,9 +47,9 @@
   };
 
   bool refreshAddresses();
-  bool takeAddresses(const web::json::value& aBody);
+  bool takeAddresses(const Json& aBody);
   bool takeTicket(QueryRequest& aRequest);
-  void keepTickets(const web::json::value& aBody, const std::string& aIssuer);
+  void keepTickets(const Json& aBody, const std::string& aIssuer);
   Sent sendOnce(const std::string& aAddress,
                 const QueryRequest& aRequest,
                 std::chrono::milliseconds aTimeout,
--- a/src/cmd_rules.cpp
+++ b/src/cmd_rules.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "client_http_p.h"
+#include "http_message_p.h"
 #include "rules_p.h"
 #include "settings_p.h"
 #include "status_table_p.h"
@@ -79,7 +80,8 @@
       }
     }
   }
-  return printFrom(address, "/v1/explain?request_id=" + urlEncode(aRequestId));
+  return printFrom(address,
+                   "/v1/explain?request_id=" + percentEncode(aRequestId));
 }
 
 int
@@ -91,7 +93,8 @@
   }
   if (aVerb == "explain" && count == 0 && !aSettings.queryClass.empty()) {
     return printFrom(aSettings.entry,
-                     "/v1/explain?class=" + urlEncode(aSettings.queryClass));
+                     "/v1/explain?class=" +
+                       percentEncode(aSettings.queryClass));
   }
   if (aVerb == "explain" && count == 1 && aSettings.queryClass.empty()) {
     return explainRequest(aSettings.entry, aSettings.arguments[0]);
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -51,6 +51,24 @@
 
 } // namespace
 
+std::optional<asio::ip::tcp::endpoint>
+parseEndpoint(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aText.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const char* const last = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data() + colon + 1, last, port);
+  if (error || parsed.ec != std::errc() || parsed.ptr != last || port == 0) {
+    return std::nullopt;
+  }
+  return asio::ip::tcp::endpoint(address, port);
+}
+
 /// A request and the connection that carries it.
 class HttpPool::Ticket final
   : public HttpTicketI
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,10 @@
 
 namespace toucanridge {
 
+/// @returns the endpoint of "address:port", nothing when it can't be read
+std::optional<boost::asio::ip::tcp::endpoint>
+parseEndpoint(const std::string& aText);
+
 /// How an exchange with a server ended.
 enum class ExchangeEnd : std::uint8_t
 {
--- a/src/http_message.cpp
+++ b/src/http_message.cpp
@@ -1,5 +1,9 @@
 #include "http_message_p.h"
 
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -52,6 +56,64 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
+std::string
+percentEncode(std::string_view aText)
+{
+  constexpr std::string_view kKept = "/-._~";
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char c : aText) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (std::isalnum(byte) != 0 || kKept.find(c) != std::string_view::npos) {
+      encoded += c;
+    } else {
+      encoded += '%';
+      encoded += kDigits[byte >> 4U];
+      encoded += kDigits[byte & 15U];
+    }
+  }
+  return encoded;
+}
+
+std::string
+percentDecode(std::string_view aText)
+{
+  constexpr std::size_t kDigits = 2;
+  std::string decoded;
+  while (!aText.empty()) {
+    const char* const from = aText.data() + 1;
+    std::uint8_t byte = 0;
+    if (aText.front() == '%' && aText.size() > kDigits &&
+        std::from_chars(from, from + kDigits, byte, 16).ptr == from + kDigits) {
+      decoded += static_cast<char>(byte);
+      aText.remove_prefix(1 + kDigits);
+    } else {
+      decoded += aText.front();
+      aText.remove_prefix(1);
+    }
+  }
+  return decoded;
+}
+
+std::optional<std::string>
+queryParameter(std::string_view aTarget, std::string_view aName)
+{
+  const auto mark = aTarget.find('?');
+  std::string_view rest =
+    mark == std::string_view::npos ? "" : aTarget.substr(mark + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    const auto equals = pair.find('=');
+    if (pair.substr(0, equals) == aName) {
+      return equals == std::string_view::npos
+               ? std::string()
+               : percentDecode(pair.substr(equals + 1));
+    }
+  }
+  return std::nullopt;
+}
+
 std::string_view
 headerValue(const HttpFields& aFields, std::string_view aName)
 {
@@ -77,6 +139,14 @@
   return response;
 }
 
+HttpResponse
+makeJsonResponse(unsigned aStatus, std::string aBody)
+{
+  HttpResponse response = makeResponse(aStatus, std::move(aBody));
+  response.set(http::field::content_type, "application/json");
+  return response;
+}
+
 std::string
 serializeHead(const HttpResponse& aResponse, bool aClose)
 {
--- a/src/http_message_p.h
+++ b/src/http_message_p.h
@@ -4,6 +4,7 @@
 /// HTTP/1.1 messages and the rules for passing them on.
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,6 +29,20 @@
 std::string_view
 pathOf(std::string_view aTarget);
 
+/// @returns text with all but unreserved characters and slashes escaped, for a
+///          query
+std::string
+percentEncode(std::string_view aText);
+
+/// @returns text with its escapes replaced; malformed ones are kept
+std::string
+percentDecode(std::string_view aText);
+
+/// @returns a decoded parameter of a request target's query, nothing when it
+///          is absent
+std::optional<std::string>
+queryParameter(std::string_view aTarget, std::string_view aName);
+
 /// @returns a header's value, empty when it is absent
 std::string_view
 headerValue(const HttpFields& aFields, std::string_view aName);
@@ -42,6 +57,10 @@
 HttpResponse
 makeResponse(unsigned aStatus, std::string aBody);
 
+/// @returns an answer of this system with a JSON body
+HttpResponse
+makeJsonResponse(unsigned aStatus, std::string aBody);
+
 /// @returns status line and headers, with Content-Length and, when the
 ///          connection ends after it, `Connection: close`
 std::string
--- /dev/null
+++ b/src/http_thread_p.h
@@ -0,0 +1,45 @@
+#ifndef TOUCANRIDGE_HTTP_THREAD_P_H
+#define TOUCANRIDGE_HTTP_THREAD_P_H
+
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace toucanridge {
+
+/// An io_context with the one thread that HTTP sessions and pools need.
+class HttpThread
+{
+public:
+  HttpThread()
+    : m_work(m_context.get_executor())
+    , m_thread([this] { m_context.run(); })
+  {
+  }
+  ~HttpThread() { shutdown(); }
+  HttpThread(const HttpThread&) = delete;
+  HttpThread& operator=(const HttpThread&) = delete;
+
+  boost::asio::io_context& context() { return m_context; }
+
+  /// Ends the thread; handlers that wait aren't called any more.
+  void shutdown()
+  {
+    m_work.reset();
+    m_context.stop();
+    if (m_thread.joinable()) {
+      m_thread.join();
+    }
+  }
+
+private:
+  boost::asio::io_context m_context;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    m_work;
+  std::thread m_thread; ///< last: it uses the members above
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_HTTP_THREAD_P_H
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -21,7 +21,6 @@
 #include "rights_p.h"
 #include "slot_table_p.h"
 #include "status_p.h"
-#include "threads_http_p.h"
 #include "tickets_p.h"
 #include "warmth_p.h"
 
@@ -152,7 +151,7 @@
           [this] { return static_cast<std::uint32_t>(engine.running()); })
   , rights(clock, settings.host)
   , warmth(clock, views, rights, settings.host)
-  , backend(traffic)
+  , backend(settings.httpThreads)
   , slots(clock, views, rights, warmth, backend, settings.host)
   , chooser(incarnation,
             [this](const std::string& aHost) { return plane.isAlive(aHost); })
@@ -584,10 +583,8 @@
 }
 
 Node::Node(NodeSettings aSettings)
+  : m_impl(std::make_unique<Impl>(std::move(aSettings)))
 {
-  // cpprestsdk's pool can be sized only before its first use.
-  initHttpThreads(aSettings.httpThreads);
-  m_impl = std::make_unique<Impl>(std::move(aSettings));
 }
 
 Node::~Node() = default;
--- a/src/platform_http.cpp
+++ b/src/platform_http.cpp
@@ -1,114 +1,180 @@
 #include "platform_http_p.h"
 
-#include <cpprest/http_client.h>
-#include <cpprest/json.h>
+#include <algorithm>
+#include <limits>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "http_client_p.h"
+#include "http_thread_p.h"
+#include "json_p.h"
 
 namespace toucanridge {
 namespace {
 
-namespace http = web::http;
-namespace json = web::json;
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
 
 /// How long an answer may take beyond the wait that was asked for.
-constexpr std::chrono::seconds kAnswerTime{ 2 };
+constexpr milliseconds kAnswerTime{ 2000 };
 /// Longest watch that this adapter asks for.
-constexpr std::chrono::seconds kLongestWait{ 30 };
+constexpr milliseconds kLongestWait{ 30'000 };
 constexpr std::size_t kMaxHosts = 8192;
+/// A watch, the list of hosts, and one of either that is being given up.
+constexpr std::size_t kConnections = 4;
 
-http::client::http_client_config
-clientConfig()
+/// @returns nothing on a malformed entry
+std::optional<Host>
+parseHost(const Json& aEntry)
 {
-  http::client::http_client_config config;
-  config.set_timeout(kAnswerTime + kLongestWait);
-  return config;
+  constexpr std::uint64_t kMaxPort = std::numeric_limits<std::uint16_t>::max();
+  Host host;
+  host.name = jsonText(aEntry, "name");
+  host.dataCentre = jsonText(aEntry, "data_centre");
+  host.address = jsonText(aEntry, "address");
+  const std::uint64_t httpPort = jsonUnsigned(aEntry, "http_port");
+  const std::uint64_t peerPort = jsonUnsigned(aEntry, "peer_port");
+  const std::string state = jsonText(aEntry, "state");
+  if (host.name.empty() || host.dataCentre.empty() || host.address.empty() ||
+      httpPort == 0 || httpPort > kMaxPort || peerPort == 0 ||
+      peerPort > kMaxPort || state.empty()) {
+    return std::nullopt;
+  }
+  host.httpPort = static_cast<std::uint16_t>(httpPort);
+  host.peerPort = static_cast<std::uint16_t>(peerPort);
+  host.state = state == "live" ? HostState::Live : HostState::Leaving;
+  return host;
 }
 
-std::uint16_t
-portField(const json::value& aValue, const char* aName)
+/// @returns the revision of an answer, nothing when it is malformed
+std::optional<std::uint64_t>
+parseRevision(const Json& aBody)
 {
-  const int port = aValue.at(aName).as_integer();
-  if (port < 1 || port > 65535) {
-    throw json::json_exception("port out of range");
-  }
-  return static_cast<std::uint16_t>(port);
+  const Json* revision = jsonMember(aBody, "revision");
+  return revision != nullptr && revision->IsUint64()
+           ? std::optional(revision->GetUint64())
+           : std::nullopt;
 }
 
-/// @throws json::json_exception on a malformed list
-HostList
-parseHosts(const json::value& aBody)
+std::optional<HostList>
+parseHosts(const Json& aBody)
 {
-  HostList list;
-  list.revision = aBody.at("revision").as_number().to_uint64();
-  const json::array& entries = aBody.at("hosts").as_array();
-  if (entries.size() > kMaxHosts) {
-    throw json::json_exception("too many hosts");
+  const auto revision = parseRevision(aBody);
+  const Json* entries = jsonMember(aBody, "hosts");
+  if (!revision || entries == nullptr || !entries->IsArray() ||
+      entries->Size() > kMaxHosts) {
+    return std::nullopt;
   }
-  for (const json::value& entry : entries) {
-    Host host;
-    host.name = entry.at("name").as_string();
-    host.dataCentre = entry.at("data_centre").as_string();
-    host.address = entry.at("address").as_string();
-    host.httpPort = portField(entry, "http_port");
-    host.peerPort = portField(entry, "peer_port");
-    const std::string& state = entry.at("state").as_string();
-    host.state = state == "live" ? HostState::Live : HostState::Leaving;
-    list.hosts.push_back(std::move(host));
+  HostList list;
+  list.revision = *revision;
+  for (const Json& entry : entries->GetArray()) {
+    auto host = parseHost(entry);
+    if (!host) {
+      return std::nullopt;
+    }
+    list.hosts.push_back(std::move(*host));
   }
   return list;
 }
 
-/// @throws json::json_exception on a malformed answer
-PublishedRules
-parseRulesAnswer(const json::value& aBody)
+std::optional<PublishedRules>
+parseRulesAnswer(const Json& aBody)
 {
+  const auto revision = parseRevision(aBody);
+  const Json* text = jsonMember(aBody, "text");
+  if (!revision || text == nullptr || !text->IsString()) {
+    return std::nullopt;
+  }
   PublishedRules rules;
-  rules.revision = aBody.at("revision").as_number().to_uint64();
-  rules.text = aBody.at("text").as_string();
+  rules.revision = *revision;
+  rules.text = jsonText(aBody, "text");
   return rules;
 }
 
-/// Reads one JSON answer and hands it, parsed, to the caller.
-template<class Value, class Parse, class Done>
-void
-readJson(http::client::http_client& aClient,
-         const std::string& aPath,
-         Parse aParse,
-         Done aDone)
+/// Decodes a response with one of the functions above.
+template<class Value>
+tl::expected<Value, std::error_code>
+decodeAnswer(const ExchangeResult& aResult,
+             std::optional<Value> (*aParse)(const Json&))
 {
-  aClient.request(http::methods::GET, aPath)
-    .then([](const http::http_response& aResponse) {
-      if (aResponse.status_code() != http::status_codes::OK) {
-        throw http::http_exception("status " +
-                                   std::to_string(aResponse.status_code()));
-      }
-      return aResponse.extract_json(true);
-    })
-    .then([aParse, aDone](const pplx::task<json::value>& aBody) {
-      tl::expected<Value, std::error_code> result;
-      try {
-        result = aParse(aBody.get());
-      } catch (const json::json_exception&) {
-        result = tl::make_unexpected(make_error_code(Errc::BadMessage));
-      } catch (const std::exception&) {
-        result = tl::make_unexpected(make_error_code(Errc::Unreachable));
-      }
-      aDone(std::move(result));
-    });
+  if (aResult.end != ExchangeEnd::Answered ||
+      aResult.response.result_int() != 200) {
+    return tl::make_unexpected(make_error_code(Errc::Unreachable));
+  }
+  const auto body = parseJson(aResult.response.body());
+  auto value = body ? aParse(*body) : std::nullopt;
+  if (!value) {
+    return tl::make_unexpected(make_error_code(Errc::BadMessage));
+  }
+  return std::move(*value);
 }
 
 } // namespace
 
 struct PlatformHttp::Impl
 {
-  explicit Impl(const std::string& aUrl)
-    : rules(web::uri(aUrl), clientConfig())
-    , hosts(web::uri(aUrl), clientConfig())
+  using OnResult = std::function<void(const ExchangeResult&)>;
+
+  explicit Impl(const std::string& aUrl);
+  ~Impl() { thread.shutdown(); }
+
+  void read(std::string aPath, milliseconds aTimeout, OnResult aDone);
+
+  /// One read on its way.
+  struct Reading
   {
-  }
-  http::client::http_client rules;
-  http::client::http_client hosts;
+    explicit Reading(asio::io_context& aContext)
+      : timer(aContext)
+    {
+    }
+    HttpTicketPtr ticket;
+    asio::steady_timer timer;
+  };
+
+  std::string host; ///< "address:port"
+  SystemClock clock;
+  HttpThread thread;
+  std::shared_ptr<HttpPool> pool;
 };
 
+PlatformHttp::Impl::Impl(const std::string& aUrl)
+  : host(aUrl.substr(aUrl.rfind('/') + 1))
+{
+  HttpClientSettings settings;
+  settings.connections = kConnections;
+  // The settings have checked that the URL ends with "address:port".
+  pool = std::make_shared<HttpPool>(
+    thread.context(), clock, parseEndpoint(host).value(), settings);
+}
+
+void
+PlatformHttp::Impl::read(std::string aPath,
+                         milliseconds aTimeout,
+                         OnResult aDone)
+{
+  asio::post(
+    thread.context(),
+    [this, path = std::move(aPath), aTimeout, done = std::move(aDone)] {
+      HttpCall call;
+      call.head = "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
+      const auto reading = std::make_shared<Reading>(thread.context());
+      reading->ticket =
+        pool->send(std::move(call), [reading, done](ExchangeResult aResult) {
+          reading->timer.cancel();
+          done(aResult);
+        });
+      reading->timer.expires_after(aTimeout);
+      reading->timer.async_wait(
+        [reading, done](const boost::system::error_code& aError) {
+          if (!aError) {
+            reading->ticket->cancel();
+            done({});
+          }
+        });
+    });
+}
+
 PlatformHttp::PlatformHttp(const std::string& aUrl)
   : m_impl(std::make_unique<Impl>(aUrl))
 {
@@ -117,22 +183,25 @@
 PlatformHttp::~PlatformHttp() = default;
 
 void
-PlatformHttp::readRules(std::uint64_t aAfter,
-                        std::chrono::milliseconds aWait,
-                        OnRules aDone)
+PlatformHttp::readRules(std::uint64_t aAfter, milliseconds aWait, OnRules aDone)
 {
-  const auto wait = std::min<std::chrono::milliseconds>(aWait, kLongestWait);
-  readJson<PublishedRules>(m_impl->rules,
-                           "/v1/config?after=" + std::to_string(aAfter) +
-                             "&wait_ms=" + std::to_string(wait.count()),
-                           parseRulesAnswer,
-                           std::move(aDone));
+  const auto wait = std::min(aWait, kLongestWait);
+  m_impl->read("/v1/config?after=" + std::to_string(aAfter) +
+                 "&wait_ms=" + std::to_string(wait.count()),
+               wait + kAnswerTime,
+               [done = std::move(aDone)](const ExchangeResult& aResult) {
+                 done(decodeAnswer(aResult, &parseRulesAnswer));
+               });
 }
 
 void
 PlatformHttp::readHosts(OnHosts aDone)
 {
-  readJson<HostList>(m_impl->hosts, "/v1/hosts", parseHosts, std::move(aDone));
+  m_impl->read("/v1/hosts",
+               kAnswerTime,
+               [done = std::move(aDone)](const ExchangeResult& aResult) {
+                 done(decodeAnswer(aResult, &parseHosts));
+               });
 }
 
 } // namespace toucanridge
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -193,9 +193,10 @@
             "threads for links between nodes")(
     "http-threads",
     po::value<std::int64_t>()->default_value(4),
-    "threads of the HTTP library")("log-file",
-                                   po::value<std::string>()->default_value(""),
-                                   "log file; standard error when empty")(
+    "threads for connections to backend servers")(
+    "log-file",
+    po::value<std::string>()->default_value(""),
+    "log file; standard error when empty")(
     "log-level",
     po::value<std::string>()->default_value("info"),
     "debug, info, warn or error");
--- a/src/status_http.cpp
+++ b/src/status.cpp
@@ -4,41 +4,32 @@
 #include <sstream>
 #include <type_traits>
 
-#include <cpprest/json.h>
-
+#include "json_p.h"
 #include "log_p.h"
 
 namespace toucanridge {
 namespace {
 
-namespace json = web::json;
-
-json::value
-number(std::uint64_t aValue)
-{
-  return json::value::number(aValue);
-}
-
-json::value
-countersJson(const EngineCounters& aCounters)
+void
+writeCounters(JsonWriter& aOut, const EngineCounters& aCounters)
 {
-  json::value body = json::value::object();
-  body["queries"] = number(aCounters.queries);
-  body["whole"] = number(aCounters.whole);
-  body["partial"] = number(aCounters.partial);
-  body["not_run"] = number(aCounters.notRun);
-  body["unknown"] = number(aCounters.unknown);
-  body["first_attempts"] = number(aCounters.firstAttempts);
-  body["retries"] = number(aCounters.retries);
-  body["free_retries"] = number(aCounters.freeRetries);
-  body["retries_denied"] = number(aCounters.retriesDenied);
-  body["hedges"] = number(aCounters.hedges);
-  body["hedges_won"] = number(aCounters.hedgesWon);
-  body["hedges_denied"] = number(aCounters.hedgesDenied);
-  body["early_answers"] = number(aCounters.earlyAnswers);
-  body["restarts"] = number(aCounters.restarts);
-  body["dropped_replies"] = number(aCounters.droppedReplies);
-  return body;
+  aOut.beginObject("counters");
+  aOut.number("queries", aCounters.queries.load());
+  aOut.number("whole", aCounters.whole.load());
+  aOut.number("partial", aCounters.partial.load());
+  aOut.number("not_run", aCounters.notRun.load());
+  aOut.number("unknown", aCounters.unknown.load());
+  aOut.number("first_attempts", aCounters.firstAttempts.load());
+  aOut.number("retries", aCounters.retries.load());
+  aOut.number("free_retries", aCounters.freeRetries.load());
+  aOut.number("retries_denied", aCounters.retriesDenied.load());
+  aOut.number("hedges", aCounters.hedges.load());
+  aOut.number("hedges_won", aCounters.hedgesWon.load());
+  aOut.number("hedges_denied", aCounters.hedgesDenied.load());
+  aOut.number("early_answers", aCounters.earlyAnswers.load());
+  aOut.number("restarts", aCounters.restarts.load());
+  aOut.number("dropped_replies", aCounters.droppedReplies.load());
+  aOut.endObject();
 }
 
 struct ControlCounter
@@ -79,81 +70,77 @@
   };
 }
 
-json::value
-controlJson(const ControlStatus& aStatus)
+void
+writeControl(JsonWriter& aOut, const ControlStatus& aStatus)
 {
   constexpr const char* kRoles[] = { "none", "first", "second", "starting" };
   constexpr const char* kStates[] = { "alive", "suspect", "dead", "leaving" };
-  json::value body = json::value::object();
-  body["ready"] = json::value::boolean(aStatus.ready);
-  body["reader"] =
-    json::value::string(kRoles[static_cast<std::size_t>(aStatus.role)]);
-  body["rules_held"] = number(aStatus.held.rules);
-  body["hosts_held"] = number(aStatus.held.hosts);
-  body["refused_hosts_revision"] = number(aStatus.refusedHosts);
+  aOut.beginObject("control");
+  aOut.flag("ready", aStatus.ready);
+  aOut.text("reader", kRoles[static_cast<std::size_t>(aStatus.role)]);
+  aOut.number("rules_held", aStatus.held.rules);
+  aOut.number("hosts_held", aStatus.held.hosts);
+  aOut.number("refused_hosts_revision", aStatus.refusedHosts);
   for (const ControlCounter& counter : controlCounters(aStatus)) {
-    body[counter.name] = number(counter.value);
+    aOut.number(counter.name, counter.value);
   }
-  json::value members = json::value::object();
+  aOut.beginObject("members");
   for (const auto& [host, state] : aStatus.members) {
-    members[host] =
-      json::value::string(kStates[static_cast<std::size_t>(state)]);
+    aOut.text(host, kStates[static_cast<std::size_t>(state)]);
   }
-  body["members"] = members;
-  return body;
+  aOut.endObject();
+  aOut.endObject();
 }
 
-json::value
-quarantineJson(const std::vector<QuarantineStatus>& aEntries)
+void
+writeQuarantine(JsonWriter& aOut, const std::vector<QuarantineStatus>& aEntries)
 {
-  std::vector<json::value> list;
+  aOut.beginArray("quarantine");
   for (const QuarantineStatus& status : aEntries) {
     // The form that the rule "lift quarantine" takes.
     std::ostringstream fingerprint;
     fingerprint << std::hex << std::setw(16) << std::setfill('0')
                 << status.fingerprint;
-    json::value entry = json::value::object();
-    entry["fingerprint"] = json::value::string(fingerprint.str());
-    entry["strikes"] = json::value::number(status.strikes);
-    entry["blocked"] = json::value::boolean(status.blocked);
-    entry["lifted"] = json::value::boolean(status.lifted);
-    entry["left_ms"] =
-      json::value::number(static_cast<std::int64_t>(status.left.count()));
-    list.push_back(entry);
+    aOut.beginObject();
+    aOut.text("fingerprint", fingerprint.str());
+    aOut.number("strikes", status.strikes);
+    aOut.flag("blocked", status.blocked);
+    aOut.flag("lifted", status.lifted);
+    aOut.number("left_ms", status.left.count());
+    aOut.endObject();
   }
-  return json::value::array(list);
+  aOut.endArray();
 }
 
-json::value
-viewJson(const View& aView)
+void
+writeView(JsonWriter& aOut, const View& aView)
 {
-  json::value body = json::value::object();
-  body["rules_revision"] = number(aView.id.rules);
-  body["hosts_revision"] = number(aView.id.hosts);
-  std::vector<json::value> hosts;
+  aOut.beginObject("view");
+  aOut.number("rules_revision", aView.id.rules);
+  aOut.number("hosts_revision", aView.id.hosts);
+  aOut.beginArray("hosts");
   for (const Host& host : aView.hosts.hosts) {
-    json::value entry = json::value::object();
-    entry["host"] = json::value::string(host.name);
-    entry["data_centre"] = json::value::string(host.dataCentre);
-    entry["in_service"] = json::value::boolean(aView.inService(host));
-    entry["state"] =
-      json::value::string(host.state == HostState::Live ? "live" : "leaving");
-    entry["address"] = json::value::string(host.address);
-    entry["http_port"] = json::value::number(host.httpPort);
-    hosts.push_back(entry);
+    aOut.beginObject();
+    aOut.text("host", host.name);
+    aOut.text("data_centre", host.dataCentre);
+    aOut.flag("in_service", aView.inService(host));
+    aOut.text("state", host.state == HostState::Live ? "live" : "leaving");
+    aOut.text("address", host.address);
+    aOut.number("http_port", host.httpPort);
+    aOut.endObject();
   }
-  body["hosts"] = json::value::array(hosts);
-  std::vector<json::value> centres;
+  aOut.endArray();
+  aOut.beginArray("data_centres");
   for (const DataCentreRule& rule : aView.rules->dataCentres) {
-    json::value entry = json::value::object();
-    entry["data_centre"] = json::value::string(rule.name);
-    entry["in_service"] = json::value::boolean(rule.inService);
-    entry["line"] = json::value::number(rule.from.line);
-    entry["asked_by"] = json::value::string(rule.from.askedBy);
-    centres.push_back(entry);
+    aOut.beginObject();
+    aOut.text("data_centre", rule.name);
+    aOut.flag("in_service", rule.inService);
+    aOut.number("line", rule.from.line);
+    aOut.text("asked_by", rule.from.askedBy);
+    aOut.endObject();
   }
-  body["data_centres"] = json::value::array(centres);
-  return body;
+  aOut.endArray();
+  aOut.endObject();
 }
 
 } // namespace
@@ -164,29 +151,31 @@
              const std::vector<GateStatus>& aGates,
              const EngineCounters& aCounters)
 {
-  json::value body = json::value::object();
-  body["host"] = json::value::string(aFacts.host);
-  body["data_centre"] = json::value::string(aFacts.dataCentre);
-  body["incarnation"] = number(aFacts.incarnation);
-  body["refused_revision"] = number(aFacts.control->refusedRules);
-  body["control"] = controlJson(*aFacts.control);
-  body["quarantine"] = quarantineJson(aFacts.quarantine);
-  body["log_lines_dropped"] = number(logDropped());
-  body["counters"] = countersJson(aCounters);
+  JsonWriter out;
+  out.beginObject();
+  out.text("host", aFacts.host);
+  out.text("data_centre", aFacts.dataCentre);
+  out.number("incarnation", aFacts.incarnation);
+  out.number("refused_revision", aFacts.control->refusedRules);
+  writeControl(out, *aFacts.control);
+  writeQuarantine(out, aFacts.quarantine);
+  out.number("log_lines_dropped", logDropped());
+  writeCounters(out, aCounters);
   if (aView) {
-    body["view"] = viewJson(*aView);
+    writeView(out, *aView);
   }
-  std::vector<json::value> servers;
+  out.beginArray("servers");
   for (const GateStatus& gate : aGates) {
-    json::value entry = json::value::object();
-    entry["server"] = json::value::string(gate.server);
-    entry["slots_held"] = json::value::number(gate.held);
-    entry["in_use"] = json::value::number(gate.inUse);
-    entry["queued"] = json::value::number(gate.queued);
-    servers.push_back(entry);
+    out.beginObject();
+    out.text("server", gate.server);
+    out.number("slots_held", gate.held);
+    out.number("in_use", gate.inUse);
+    out.number("queued", gate.queued);
+    out.endObject();
   }
-  body["servers"] = json::value::array(servers);
-  return body.serialize();
+  out.endArray();
+  out.endObject();
+  return out.str();
 }
 
 namespace {
@@ -306,21 +295,21 @@
 }
 
 template<class Rules>
-json::value
-rulesArray(const Rules& aRules)
+void
+writeRules(JsonWriter& aOut, const Rules& aRules)
 {
-  std::vector<json::value> list;
+  aOut.beginArray("rules");
   for (const auto& rule : aRules) {
-    json::value entry = json::value::object();
-    entry["line"] = json::value::number(rule.line);
-    entry["text"] = json::value::string(rule.text);
-    entry["asked_by"] = json::value::string(rule.askedBy);
+    aOut.beginObject();
+    aOut.number("line", rule.line);
+    aOut.text("text", rule.text);
+    aOut.text("asked_by", rule.askedBy);
     if constexpr (std::is_same_v<typename Rules::value_type, Provenance>) {
-      entry["reason"] = json::value::string(rule.reason);
+      aOut.text("reason", rule.reason);
     }
-    list.push_back(entry);
+    aOut.endObject();
   }
-  return json::value::array(list);
+  aOut.endArray();
 }
 
 } // namespace
@@ -368,39 +357,45 @@
 std::string
 renderExplanation(const RememberedAnswer& aAnswer)
 {
-  json::value body = json::value::object();
-  body["request_id"] = json::value::string(aAnswer.requestId);
-  body["class"] = json::value::string(aAnswer.queryClass);
-  body["outcome"] = json::value::string(toString(aAnswer.outcome));
-  body["reason"] = json::value::string(aAnswer.reason);
-  body["coverage"]["answered"] = json::value::number(aAnswer.coverage.answered);
-  body["coverage"]["total"] = json::value::number(aAnswer.coverage.total);
-  body["snapshot"] = number(aAnswer.snapshot);
-  body["revision"] = number(aAnswer.revision);
-  body["took_us"] =
-    json::value::number(static_cast<std::int64_t>(aAnswer.took.count()));
-  body["rules"] = rulesArray(*aAnswer.rules);
-  return body.serialize();
+  JsonWriter out;
+  out.beginObject();
+  out.text("request_id", aAnswer.requestId);
+  out.text("class", aAnswer.queryClass);
+  out.text("outcome", toString(aAnswer.outcome));
+  out.text("reason", aAnswer.reason);
+  out.beginObject("coverage");
+  out.number("answered", aAnswer.coverage.answered);
+  out.number("total", aAnswer.coverage.total);
+  out.endObject();
+  out.number("snapshot", aAnswer.snapshot);
+  out.number("revision", aAnswer.revision);
+  out.number("took_us", aAnswer.took.count());
+  writeRules(out, *aAnswer.rules);
+  out.endObject();
+  return out.str();
 }
 
 std::string
 renderClassRules(const View& aView, const std::string& aClass)
 {
-  json::value body = json::value::object();
-  body["class"] = json::value::string(aClass);
-  body["revision"] = number(aView.id.rules);
-  body["rules"] = rulesArray(governingRules(*aView.rules, aClass));
-  return body.serialize();
+  JsonWriter out;
+  out.beginObject();
+  out.text("class", aClass);
+  out.number("revision", aView.id.rules);
+  writeRules(out, governingRules(*aView.rules, aClass));
+  out.endObject();
+  return out.str();
 }
 
 std::string
 renderRules(const ViewPtr& aView)
 {
-  json::value body = json::value::object();
-  body["revision"] = number(aView ? aView->id.rules : 0);
-  body["rules"] =
-    aView ? rulesArray(listRules(*aView->rules)) : json::value::array();
-  return body.serialize();
+  JsonWriter out;
+  out.beginObject();
+  out.number("revision", aView ? aView->id.rules : std::uint64_t(0));
+  writeRules(out, aView ? listRules(*aView->rules) : std::vector<Provenance>());
+  out.endObject();
+  return out.str();
 }
 
 } // namespace toucanridge
--- a/src/status_table_http.cpp
+++ b/src/status_table.cpp
@@ -7,48 +7,29 @@
 #include <set>
 #include <sstream>
 
-#include <cpprest/json.h>
-#include <cpprest/uri.h>
+#include "json_p.h"
 
 namespace toucanridge {
 namespace {
 
-namespace json = web::json;
-
 /// A text cell for any JSON value; a missing one is a dash.
 std::string
-cell(const json::value& aObject, const std::string& aName)
+cell(const Json& aObject, const char* aName)
 {
-  if (!aObject.is_object() || !aObject.has_field(aName)) {
+  const Json* value = jsonMember(aObject, aName);
+  if (value == nullptr) {
     return "-";
   }
-  const json::value& value = aObject.at(aName);
-  return value.is_string() ? value.as_string() : value.serialize();
+  return value->IsString() ? jsonText(aObject, aName) : jsonSerialize(*value);
 }
 
-std::uint64_t
-number(const json::value& aObject, const std::string& aName)
+/// @returns a member, a null value when it is absent
+const Json&
+child(const Json& aObject, const char* aName)
 {
-  return aObject.is_object() && aObject.has_number_field(aName)
-           ? aObject.at(aName).as_number().to_uint64()
-           : 0;
-}
-
-json::value
-child(const json::value& aObject, const std::string& aName)
-{
-  return aObject.is_object() && aObject.has_field(aName) ? aObject.at(aName)
-                                                         : json::value();
-}
-
-std::vector<json::value>
-list(const json::value& aObject, const std::string& aName)
-{
-  const json::value found = child(aObject, aName);
-  if (!found.is_array()) {
-    return {};
-  }
-  return { found.as_array().begin(), found.as_array().end() };
+  static const Json sNull;
+  const Json* value = jsonMember(aObject, aName);
+  return value != nullptr ? *value : sNull;
 }
 
 /// Rows of text with the columns aligned.
@@ -89,7 +70,7 @@
 
 /// One row for each host: the nodes that answered, and the listed others.
 void
-printNodes(std::ostream& aOut, const std::vector<json::value>& aNodes)
+printNodes(std::ostream& aOut, const std::vector<JsonDocument>& aNodes)
 {
   Table table({ "host",
                 "data centre",
@@ -106,19 +87,19 @@
                 "refused rules" });
   std::uint64_t lowest = std::numeric_limits<std::uint64_t>::max();
   std::uint64_t highest = 0;
-  for (const json::value& node : aNodes) {
-    const json::value view = child(node, "view");
-    const json::value counters = child(node, "counters");
+  for (const Json& node : aNodes) {
+    const Json& view = child(node, "view");
+    const Json& counters = child(node, "counters");
     std::uint64_t held = 0;
     std::uint64_t inUse = 0;
     std::uint64_t queued = 0;
-    for (const json::value& server : list(node, "servers")) {
-      held += number(server, "slots_held");
-      inUse += number(server, "in_use");
-      queued += number(server, "queued");
+    for (const Json& server : jsonArray(node, "servers")) {
+      held += jsonUnsigned(server, "slots_held");
+      inUse += jsonUnsigned(server, "in_use");
+      queued += jsonUnsigned(server, "queued");
     }
-    lowest = std::min(lowest, number(view, "rules_revision"));
-    highest = std::max(highest, number(view, "rules_revision"));
+    lowest = std::min(lowest, jsonUnsigned(view, "rules_revision"));
+    highest = std::max(highest, jsonUnsigned(view, "rules_revision"));
     table.add({ cell(node, "host"),
                 cell(node, "data_centre"),
                 cell(view, "rules_revision"),
@@ -141,10 +122,10 @@
 }
 
 void
-printView(std::ostream& aOut, const json::value& aView)
+printView(std::ostream& aOut, const Json& aView)
 {
   Table centres({ "data centre", "state", "rule line", "asked by" });
-  for (const json::value& centre : list(aView, "data_centres")) {
+  for (const Json& centre : jsonArray(aView, "data_centres")) {
     centres.add({ cell(centre, "data_centre"),
                   cell(centre, "in_service") == "true" ? "in" : "out",
                   cell(centre, "line"),
@@ -152,7 +133,7 @@
   }
   centres.print(aOut);
   Table hosts({ "listed host", "data centre", "list", "new work" });
-  for (const json::value& host : list(aView, "hosts")) {
+  for (const Json& host : jsonArray(aView, "hosts")) {
     hosts.add({ cell(host, "host"),
                 cell(host, "data_centre"),
                 cell(host, "state"),
@@ -164,7 +145,7 @@
 /// One row for each server, summed over the nodes; any further field that a
 /// node gives for a server is shown as the nodes give it.
 void
-printServers(std::ostream& aOut, const std::vector<json::value>& aNodes)
+printServers(std::ostream& aOut, const std::vector<JsonDocument>& aNodes)
 {
   struct Server
   {
@@ -175,19 +156,20 @@
     std::set<std::string> other;
   };
   std::map<std::string, Server> servers;
-  for (const json::value& node : aNodes) {
-    for (const json::value& entry : list(node, "servers")) {
+  for (const Json& node : aNodes) {
+    for (const Json& entry : jsonArray(node, "servers")) {
       Server& server = servers[cell(entry, "server")];
-      server.held += number(entry, "slots_held");
-      server.inUse += number(entry, "in_use");
-      server.queued += number(entry, "queued");
-      if (number(entry, "slots_held") > 0) {
+      server.held += jsonUnsigned(entry, "slots_held");
+      server.inUse += jsonUnsigned(entry, "in_use");
+      server.queued += jsonUnsigned(entry, "queued");
+      if (jsonUnsigned(entry, "slots_held") > 0) {
         server.holders.insert(cell(node, "host"));
       }
-      for (const auto& [name, value] : entry.as_object()) {
+      for (const auto& field : entry.GetObject()) {
+        const std::string name = field.name.GetString();
         if (name != "server" && name != "slots_held" && name != "in_use" &&
             name != "queued") {
-          server.other.insert(name + "=" + cell(entry, name));
+          server.other.insert(name + "=" + cell(entry, name.c_str()));
         }
       }
     }
@@ -220,36 +202,37 @@
 
 /// Fields that no table above shows, such as members or quarantined requests.
 void
-printOther(std::ostream& aOut, const json::value& aNode)
+printOther(std::ostream& aOut, const Json& aNode)
 {
   static const std::set<std::string> kShown = {
     "host",    "data_centre", "incarnation", "refused_revision",
     "servers", "counters",    "view",
   };
-  for (const auto& [name, value] : aNode.as_object()) {
+  for (const auto& field : aNode.GetObject()) {
+    const std::string name = field.name.GetString();
     if (kShown.count(name) != 0) {
       continue;
     }
     aOut << cell(aNode, "host") << ' ' << name;
-    if (!value.is_array()) {
-      aOut << ": " << cell(aNode, name) << '\n';
+    if (!field.value.IsArray()) {
+      aOut << ": " << cell(aNode, name.c_str()) << '\n';
       continue;
     }
-    aOut << ": " << value.size() << '\n';
-    for (const json::value& entry : value.as_array()) {
-      aOut << "  " << entry.serialize() << '\n';
+    aOut << ": " << field.value.Size() << '\n';
+    for (const Json& entry : field.value.GetArray()) {
+      aOut << "  " << jsonSerialize(entry) << '\n';
     }
   }
 }
 
 void
-printRule(std::ostream& aOut, const json::value& aRule)
+printRule(std::ostream& aOut, const Json& aRule)
 {
-  const std::uint64_t line = number(aRule, "line");
+  const std::uint64_t line = jsonUnsigned(aRule, "line");
   aOut << std::setw(8) << (line == 0 ? "built-in" : std::to_string(line))
        << "  " << cell(aRule, "text") << "  # asked by "
        << cell(aRule, "asked_by");
-  if (aRule.has_field("reason")) {
+  if (jsonMember(aRule, "reason") != nullptr) {
     aOut << " : " << cell(aRule, "reason");
   }
   aOut << '\n';
@@ -260,10 +243,12 @@
 std::vector<HostAddress>
 listedHosts(const std::string& aStatus)
 {
-  std::error_code error;
-  const json::value status = json::value::parse(aStatus, error);
   std::vector<HostAddress> hosts;
-  for (const json::value& host : list(child(status, "view"), "hosts")) {
+  const auto status = parseJson(aStatus);
+  if (!status) {
+    return hosts;
+  }
+  for (const Json& host : jsonArray(child(*status, "view"), "hosts")) {
     hosts.push_back({ cell(host, "host"),
                       cell(host, "address") + ":" + cell(host, "http_port") });
   }
@@ -274,29 +259,28 @@
 statusTable(const std::vector<std::string>& aStatuses,
             const std::vector<std::string>& aSilent)
 {
-  std::vector<json::value> nodes;
-  json::value newest;
+  std::vector<JsonDocument> nodes;
   for (const std::string& text : aStatuses) {
-    std::error_code error;
-    json::value node = json::value::parse(text, error);
-    if (error || !node.is_object()) {
-      continue;
-    }
-    const json::value view = child(node, "view");
-    if (newest.is_null() ||
-        number(view, "rules_revision") > number(newest, "rules_revision")) {
-      newest = view;
+    auto node = parseJson(text);
+    if (node && node->IsObject()) {
+      nodes.push_back(std::move(*node));
     }
-    nodes.push_back(std::move(node));
   }
+  const auto newest = std::max_element(
+    nodes.begin(), nodes.end(), [](const Json& aOne, const Json& aOther) {
+      return jsonUnsigned(child(aOne, "view"), "rules_revision") <
+             jsonUnsigned(child(aOther, "view"), "rules_revision");
+    });
   std::ostringstream out;
   printNodes(out, nodes);
   for (const std::string& silent : aSilent) {
     out << "no answer from " << silent << '\n';
   }
-  printView(out, newest);
+  if (newest != nodes.end()) {
+    printView(out, child(*newest, "view"));
+  }
   printServers(out, nodes);
-  for (const json::value& node : nodes) {
+  for (const Json& node : nodes) {
     printOther(out, node);
   }
   return out.str();
@@ -305,12 +289,12 @@
 std::string
 rulesTable(const std::string& aText)
 {
-  std::error_code error;
-  const json::value body = json::value::parse(aText, error);
-  std::ostringstream out;
-  if (error || !body.is_object()) {
+  const auto parsed = parseJson(aText);
+  if (!parsed || !parsed->IsObject()) {
     return "malformed answer\n";
   }
+  const Json& body = *parsed;
+  std::ostringstream out;
   for (const char* name :
        { "request_id", "class", "outcome", "reason", "snapshot", "revision" }) {
     const std::string value = cell(body, name);
@@ -318,22 +302,16 @@
       out << std::left << std::setw(12) << name << value << '\n';
     }
   }
-  const json::value coverage = child(body, "coverage");
-  if (coverage.is_object()) {
+  const Json& coverage = child(body, "coverage");
+  if (coverage.IsObject()) {
     out << std::setw(12) << "coverage" << cell(coverage, "answered") << '/'
         << cell(coverage, "total") << '\n';
   }
   out << std::right;
-  for (const json::value& rule : list(body, "rules")) {
+  for (const Json& rule : jsonArray(body, "rules")) {
     printRule(out, rule);
   }
   return out.str();
 }
 
-std::string
-urlEncode(const std::string& aText)
-{
-  return web::uri::encode_data_string(aText);
-}
-
 } // namespace toucanridge
--- a/src/status_table_p.h
+++ b/src/status_table_p.h
@@ -29,10 +29,6 @@
 std::string
 rulesTable(const std::string& aText);
 
-/// @returns text with reserved characters escaped, for a URL's query
-std::string
-urlEncode(const std::string& aText);
-
 } // namespace toucanridge
 
 #endif // TOUCANRIDGE_STATUS_TABLE_P_H
--- a/tests/backend_http_test.cpp
+++ b/tests/backend_http_test.cpp
@@ -5,7 +5,6 @@
 #include <thread>
 
 #include <boost/asio.hpp>
-#include <pplx/pplxtasks.h>
 
 #include "backend_http_p.h"
 #include "script_server.h"
@@ -16,8 +15,10 @@
 
 namespace {
 
-/// Share of one slot, see BackendHttp.
+/// Connections of one slot: one in use and one that is being closed.
 constexpr std::size_t kShare = 2;
+/// Threads of the adapter under test.
+constexpr std::uint32_t kThreads = 2;
 constexpr const char* kAddress = "127.62.1.1";
 
 template<class Condition>
@@ -46,29 +47,15 @@
   CPPUNIT_TEST(replacesSilentConnection);
   CPPUNIT_TEST(cancelClosesConnection);
   CPPUNIT_TEST(keepsConnectionShare);
-  CPPUNIT_TEST(sendsFromEveryPoolThread);
+  CPPUNIT_TEST(sendsFromEveryThread);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override
-  {
-    m_context = std::make_unique<boost::asio::io_context>();
-    m_work = std::make_unique<Guard>(m_context->get_executor());
-    m_backend = std::make_unique<BackendHttp>(*m_context);
-    m_thread = std::thread([this] { m_context->run(); });
-  }
+  void setUp() override { m_backend = std::make_unique<BackendHttp>(kThreads); }
+  void tearDown() override { m_backend.reset(); }
 
-  void tearDown() override
-  {
-    m_work.reset();
-    m_context->stop();
-    m_thread.join();
-    m_backend.reset();
-    m_context.reset();
-  }
-
-  // Guards against a request that the HTTP library sends a second time by
-  // itself when the server closes a reused connection after reading it.
+  // Guards against a request that is sent a second time when the server closes
+  // a reused connection after reading it.
   void sendsOnceWhenReusedConnectionCloses()
   {
     for (const char* body : { "charge 20", "" }) {
@@ -191,7 +178,6 @@
     CPPUNIT_ASSERT(SubStatus::TimedOut ==
                    call(server.name(), milliseconds(100)).status);
     CPPUNIT_ASSERT(steady_clock::now() - start < milliseconds(280));
-    // The library may have opened one or two connections until here.
     const std::size_t before = server.accepted();
     const BackendReply next = call(server.name(), milliseconds(1000));
     CPPUNIT_ASSERT(SubStatus::Done == next.status);
@@ -243,22 +229,33 @@
                            server.peakOpen() <= kShare);
   }
 
-  // Guards against a send that waits for a thread of the pool it runs on: once
-  // every thread of the pool sends, none is left, and the process hangs.
-  void sendsFromEveryPoolThread()
+  // Guards against a send that waits for a thread of the adapter it runs on:
+  // once every thread sends from a callback, none is left, and the process
+  // hangs.
+  void sendsFromEveryThread()
   {
-    constexpr int kSends = 96; // more than the pool's 40 threads
+    constexpr int kSends = 96; // far more than the adapter has threads
     ScriptServer server(kAddress, [](std::size_t, const std::string& aHead) {
       return Step{ ScriptServer::echo(aHead, "ok") };
     });
     std::atomic<int> ended{ 0 };
-    for (int i = 0; i < kSends; ++i) {
-      pplx::create_task([&, i] {
-        BackendCall made = makeCall(server.name(), milliseconds(4000), "x");
-        made.key.slot = static_cast<std::uint32_t>(i);
-        m_backend->send(std::move(made), [&](const BackendReply&) { ++ended; });
+    const auto sendFrom = [&](int aSlot, const BackendI::Done& aDone) {
+      BackendCall made = makeCall(server.name(), milliseconds(4000), "x");
+      made.key.slot = static_cast<std::uint32_t>(aSlot);
+      m_backend->send(std::move(made), aDone);
+    };
+    std::vector<std::thread> senders;
+    for (int i = 0; i < kSends / 2; ++i) {
+      senders.emplace_back([&, i] {
+        sendFrom(i, [&, i](const BackendReply&) {
+          ++ended;
+          sendFrom(kSends + i, [&](const BackendReply&) { ++ended; });
+        });
       });
     }
+    for (std::thread& sender : senders) {
+      sender.join();
+    }
     CPPUNIT_ASSERT_MESSAGE(
       std::to_string(ended.load()),
       waitFor([&] { return ended == kSends; }, milliseconds(8000)));
@@ -266,8 +263,6 @@
 
 private:
   using Step = ScriptServer::Step;
-  using Guard =
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
   static BackendCall makeCall(const std::string& aServer,
                               milliseconds aTimeLeft,
@@ -297,10 +292,7 @@
     return future.get();
   }
 
-  std::unique_ptr<boost::asio::io_context> m_context;
-  std::unique_ptr<Guard> m_work;
   std::unique_ptr<BackendHttp> m_backend;
-  std::thread m_thread;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BackendHttpTest);
--- a/tools/load_driver.cpp
+++ b/tools/load_driver.cpp
@@ -17,16 +17,15 @@
 
 #include "answer_check.h"
 #include "http_pool.h"
+#include "json_p.h"
 #include "rules_p.h"
 
 // After Boost's headers, because it defines a macro U, which is a template
 // parameter there.
-#include <cpprest/json.h>
 
 namespace {
 
 namespace po = boost::program_options;
-namespace json = web::json;
 using namespace toucanridge;
 using namespace toucanridge::load;
 using std::chrono::milliseconds;
@@ -117,22 +116,26 @@
 QueryAnswer
 parseAnswer(const std::string& aText)
 {
-  const json::value body = json::value::parse(aText);
+  const JsonDocument body = parseJson(aText).value();
   QueryAnswer answer;
-  answer.outcome = parseOutcome(body.at("outcome").as_string());
-  answer.reason = body.at("reason").as_string();
-  if (!body.has_field("request_id")) {
+  answer.outcome = parseOutcome(jsonText(body, "outcome"));
+  answer.reason = jsonText(body, "reason");
+  answer.requestId = jsonText(body, "request_id");
+  if (answer.requestId.empty()) {
     return answer;
   }
-  answer.requestId = body.at("request_id").as_string();
-  answer.snapshot = body.at("snapshot").as_number().to_uint64();
+  answer.snapshot = jsonUnsigned(body, "snapshot");
+  const Json* coverage = jsonMember(body, "coverage");
+  if (coverage == nullptr || jsonMember(body, "parts") == nullptr) {
+    throw std::runtime_error("an answer without coverage or parts");
+  }
   answer.coverage.answered =
-    body.at("coverage").at("answered").as_number().to_uint32();
+    static_cast<std::uint32_t>(jsonUnsigned(*coverage, "answered"));
   answer.coverage.total =
-    body.at("coverage").at("total").as_number().to_uint32();
-  for (const json::value& part : body.at("parts").as_array()) {
+    static_cast<std::uint32_t>(jsonUnsigned(*coverage, "total"));
+  for (const Json& part : jsonArray(body, "parts")) {
     answer.parts.push_back(
-      { part.at("service").as_string(), part.at("body").as_string() });
+      { jsonText(part, "service"), jsonText(part, "body") });
   }
   return answer;
 }
@@ -141,12 +144,15 @@
 parseStats(const std::string& aText)
 {
   ServerStats stats;
-  const json::value servers = json::value::parse(aText);
-  for (const json::value& server : servers.as_array()) {
-    const std::string& service = server.at("service").as_string();
+  const JsonDocument servers = parseJson(aText).value();
+  if (!servers.IsArray()) {
+    throw std::runtime_error("the servers' counts are no list");
+  }
+  for (const Json& server : servers.GetArray()) {
+    const std::string service = jsonText(server, "service");
     ServerCounts& counts = stats[service.substr(0, service.find('/'))];
     const auto number = [&server](const char* aName) {
-      return server.at(aName).as_number().to_int64();
+      return static_cast<std::int64_t>(jsonUnsigned(server, aName));
     };
     counts.requests += number("requests");
     counts.refused += number("shed") + number("expired");
@@ -273,26 +279,25 @@
     if (!aReply.ok || aReply.status != 200) {
       return milliseconds(0);
     }
-    try {
-      const json::value body = json::value::parse(aReply.body);
-      std::vector<std::string> near;
-      std::vector<std::string> all;
-      for (const json::value& entry : body.at("addresses").as_array()) {
-        all.push_back(entry.at("address").as_string() + ":" +
-                      std::to_string(entry.at("port").as_integer()));
-        if (entry.at("data_centre").as_string() == aSite.dataCentre) {
-          near.push_back(all.back());
-        }
-      }
-      if (all.empty()) {
-        return milliseconds(0);
+    const auto body = parseJson(aReply.body);
+    if (!body) {
+      return milliseconds(0);
+    }
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    for (const Json& entry : jsonArray(*body, "addresses")) {
+      all.push_back(jsonText(entry, "address") + ":" +
+                    std::to_string(jsonUnsigned(entry, "port")));
+      if (jsonText(entry, "data_centre") == aSite.dataCentre) {
+        near.push_back(all.back());
       }
-      aSite.near = std::move(near);
-      aSite.all = std::move(all);
-      return milliseconds(body.at("valid_ms").as_number().to_int64());
-    } catch (const std::exception&) {
+    }
+    if (all.empty()) {
       return milliseconds(0);
     }
+    aSite.near = std::move(near);
+    aSite.all = std::move(all);
+    return milliseconds(jsonUnsigned(*body, "valid_ms"));
   }
 
   std::string pick(const Site& aSite)
@@ -348,13 +353,15 @@
       m_noTickets = true;
     }
     std::string ticket;
-    try {
-      if (aReply.ok && aReply.status == 200) {
-        ticket =
-          json::value::parse(aReply.body).at("tickets").at(0).as_string();
+    if (aReply.ok && aReply.status == 200) {
+      const auto body = parseJson(aReply.body);
+      const auto tickets =
+        body ? jsonArray(*body, "tickets") : jsonArray(Json(), "tickets");
+      if (!tickets.Empty() && tickets[0].IsString()) {
+        ticket = tickets[0].GetString();
+      } else {
+        ++aLoad.counts.faults["malformed"];
       }
-    } catch (const std::exception&) {
-      ++aLoad.counts.faults["malformed"];
     }
     if (ticket.empty() && !m_noTickets) {
       // Without a ticket nothing was sent, so nothing ran.
@@ -377,15 +384,17 @@
     expected.body = aLoad.rule.name + " " + std::to_string(m_random());
     expected.services = aLoad.services;
     expected.fanOutAll = aLoad.rule.fanOut == FanOut::All;
-    json::value body = json::value::object();
-    body["class"] = json::value::string(aLoad.rule.name);
-    body["body"] = json::value::string(expected.body);
+    JsonWriter body;
+    body.beginObject();
+    body.text("class", aLoad.rule.name);
+    body.text("body", expected.body);
     if (!aTicket.empty()) {
-      body["ticket"] = json::value::string(aTicket);
+      body.text("ticket", aTicket);
     }
+    body.endObject();
     HttpRequest request(http::verb::post, "/v1/query", 11);
     request.set(http::field::content_type, "application/json");
-    request.body() = body.serialize();
+    request.body() = body.str();
     const auto sentAt = steady_clock::now();
     m_pool.send(pick(aSite),
                 std::move(request),
