Stop: requests that outlast the grace are answered, not cut

Cause: a stop ended the process 0.7 s before the end of the grace with requests running; their connections closed without an answer. New requests on kept connections still waited up to their own deadline.

Change: a request that arrives during a stop has its answer before its end; what still runs then gets 504. A request counts as running until its answer is written. Ruled out: a longer grace margin (requests may last 8 s, the grace is 6 s).

Test: stopAnswersWhatStillRuns failed first.

--- a/src/answer_timing.cpp
+++ b/src/answer_timing.cpp
@@ -26,6 +26,14 @@
 
 } // namespace
 
+void
+QuerySchedule::endBy(TimePoint aTime)
+{
+  aimAt = std::min(aimAt, aTime);
+  completeBy = std::min(completeBy, aTime);
+  giveUpAt = std::min(giveUpAt, aTime);
+}
+
 RouteTiming::RouteTiming(const ClockI& aClock)
   : m_slow(aClock, kHedgePercentile)
 {
--- a/src/answer_timing_p.h
+++ b/src/answer_timing_p.h
@@ -20,6 +20,9 @@
   TimePoint aimAt;      ///< enough parts are answered from now on
   TimePoint completeBy; ///< after aimAt, more parts are waited for until here
   TimePoint giveUpAt;   ///< the final answer, whatever is in
+
+  /// Moves all times before a moment.
+  void endBy(TimePoint aTime);
 };
 
 /// What is learnt of one route's requests.
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds kLeaveTime{ 2600 };
 /// Time kept free at the end of the grace, as timers fire late on a busy core.
 constexpr milliseconds kGraceMargin{ 700 };
+/// Part of it in which the last answers are written.
+constexpr milliseconds kWriteTime{ 200 };
 constexpr milliseconds kPoll{ 50 };
 
 TrafficSettings
@@ -139,6 +141,27 @@
   }
   logWrite(LogLevel::Info,
            LogLine("stop").add("phase", "ended").add("running", aRunning));
+  if (aRunning > 0) {
+    answerRest();
+  } else {
+    end();
+  }
+}
+
+/// Ends requests that outlast the grace with an answer: they may have run.
+void
+EntryNode::answerRest()
+{
+  boost::asio::post(m_trafficContext, [this] {
+    m_traffic.server().answerRunning(
+      makeResponse(504, "the host stops, the outcome is unknown\n"));
+  });
+  stopLater(kWriteTime, &EntryNode::end);
+}
+
+void
+EntryNode::end()
+{
   m_controlContext.stop();
 }
 
@@ -149,7 +172,9 @@
     logWrite(LogLevel::Info, LogLine("stop").add("phase", "leaving"));
     m_stopBy = m_clock.now() + m_settings.grace - kGraceMargin;
     m_control.leave();
-    boost::asio::post(m_trafficContext, [this] { m_traffic.server().drain(); });
+    boost::asio::post(m_trafficContext, [this, answerBy = m_stopBy - kPoll] {
+      m_traffic.leave(answerBy);
+    });
     stopLater(std::min<Duration>(kLeaveTime, m_stopBy - m_clock.now()),
               &EntryNode::closeIdle);
   });
--- a/src/entry_node_p.h
+++ b/src/entry_node_p.h
@@ -53,6 +53,8 @@
   void closeIdle();
   void awaitRequests();
   void onRunning(std::size_t aRunning);
+  void answerRest();
+  void end();
 
   const ClockI& m_clock;
   EntrySettings m_settings;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -86,7 +86,6 @@
       return;
     }
     m_onAbandoned = nullptr;
-    --m_server.m_running;
     m_state = State::Writing;
     m_since = m_server.m_clock.now();
     const bool close = m_close || m_server.m_draining;
@@ -118,6 +117,17 @@
     }
   }
 
+  void answerIfRunning(const HttpResponse& aResponse)
+  {
+    if (m_state == State::Running) {
+      const auto abandoned = std::move(m_onAbandoned);
+      reply(aResponse);
+      if (abandoned) {
+        abandoned();
+      }
+    }
+  }
+
   void closeIfIdle()
   {
     if (m_state == State::Idle) {
@@ -131,10 +141,10 @@
       return;
     }
     const bool running = m_state == State::Running;
-    m_state = State::Ended;
-    if (running) {
+    if (running || m_state == State::Writing) {
       --m_server.m_running;
     }
+    m_state = State::Ended;
     boost::system::error_code ignored;
     m_socket.shutdown(Socket::shutdown_send, ignored);
     m_socket.close(ignored);
@@ -279,6 +289,7 @@
       end();
       return;
     }
+    --m_server.m_running;
     m_body.clear();
     beginRequest();
     parse();
@@ -380,25 +391,35 @@
       return;
     }
     const TimePoint now = m_clock.now();
-    const std::vector<std::shared_ptr<HttpSession>> sessions(m_sessions.begin(),
-                                                             m_sessions.end());
-    for (const auto& session : sessions) {
+    for (const auto& session : sessions()) {
       session->sweep(now);
     }
     sweepLater();
   });
 }
 
+std::vector<std::shared_ptr<HttpSession>>
+HttpServer::sessions() const
+{
+  return { m_sessions.begin(), m_sessions.end() };
+}
+
 void
 HttpServer::closeIdle()
 {
-  const std::vector<std::shared_ptr<HttpSession>> sessions(m_sessions.begin(),
-                                                           m_sessions.end());
-  for (const auto& session : sessions) {
+  for (const auto& session : sessions()) {
     session->closeIfIdle();
   }
 }
 
+void
+HttpServer::answerRunning(const HttpResponse& aResponse)
+{
+  for (const auto& session : sessions()) {
+    session->answerIfRunning(aResponse);
+  }
+}
+
 void
 HttpServer::stopAccepting()
 {
@@ -413,9 +434,7 @@
 {
   stopAccepting();
   m_sweep.cancel();
-  const std::vector<std::shared_ptr<HttpSession>> sessions(m_sessions.begin(),
-                                                           m_sessions.end());
-  for (const auto& session : sessions) {
+  for (const auto& session : sessions()) {
     session->end();
   }
 }
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <system_error>
 #include <unordered_set>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -73,12 +74,15 @@
   void drain() { m_draining = true; }
   /// Closes connections without a request in flight.
   void closeIdle();
+  /// Answers every request that has no answer yet. Their handlers hear that
+  /// the caller has left.
+  void answerRunning(const HttpResponse& aResponse);
   /// Stops accepting new connections.
   void stopAccepting();
   /// Ends every connection.
   void shutdown();
 
-  /// @returns requests that have no answer yet
+  /// @returns requests whose answer isn't written yet
   std::size_t running() const { return m_running; }
   std::size_t connections() const { return m_sessions.size(); }
   std::uint64_t malformed() const { return m_malformed; }
@@ -86,6 +90,8 @@
 private:
   friend class HttpSession;
 
+  /// @returns a copy, as a session may end while it is visited
+  std::vector<std::shared_ptr<HttpSession>> sessions() const;
   void accept();
   void sweepLater();
 
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -133,6 +133,13 @@
 void
 Traffic::setView(const TrafficView& aView)
 {
+void
+Traffic::leave(TimePoint aAnswerBy)
+{
+  m_answerBy = aAnswerBy;
+  m_server.drain();
+}
+
   const bool routingChanged = aView.routing != m_view.routing;
   m_view = aView;
   // A host that stands by has no share of what the entry hosts divide.
@@ -246,3 +253,4 @@
 }
 
 } // namespace toucanridge
+  query.schedule.endBy(m_answerBy);
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -65,6 +65,9 @@
   void setView(const TrafficView& aView);
   HttpServer& server() { return m_server; }
   /// @returns requests of callers and peers that have no answer yet
+  /// From now on each answer ends its connection, and each new request has its
+  /// answer by a moment.
+  void leave(TimePoint aAnswerBy);
   std::size_t running() const
   {
     return m_server.running() + m_worker.running();
@@ -112,6 +115,7 @@
   std::map<std::string, RouteState> m_routes; ///< by name
 };
 
+  TimePoint m_answerBy = TimePoint::max();
 } // namespace toucanridge
 
 #endif // TOUCANRIDGE_TRAFFIC_P_H
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -112,6 +112,8 @@
   CPPUNIT_TEST(followsPeerWithoutThePlatform);
   CPPUNIT_TEST(directoryDropsHostThatLeaves);
   CPPUNIT_TEST(shutdownCutsNoRequest);
+  CPPUNIT_TEST(stopAnswersWhatStillRuns);
+  CPPUNIT_TEST(refusesWhileShardsAreOverloaded);
   CPPUNIT_TEST(programStopsOnSignals);
   CPPUNIT_TEST_SUITE_END();
 
@@ -335,6 +337,59 @@
     CPPUNIT_ASSERT_EQUAL(sent.load(), whole.load());
   }
 
+  // Guards against connections that a stop cuts because their requests outlast
+  // the grace: one that was sent before the stop, and one on a kept connection
+  // during it.
+  void stopAnswersWhatStillRuns()
+  {
+    m_store->put("op/config", configuration(2, 9000));
+    start(1, 3);
+    for (const auto& server : m_servers) {
+      server->mode = ServerStandIn::Mode::Silent;
+    }
+    auto before = std::async(std::launch::async,
+                             [this] { return query(0, "/once/x", 9000); });
+    std::this_thread::sleep_for(milliseconds(200));
+    auto during = std::async(std::launch::async, [this] {
+      std::this_thread::sleep_for(milliseconds(400));
+      return query(0, "/all/x", 9000);
+    });
+    m_nodes.pop_back();
+    const ExchangeResult first = before.get();
+    CPPUNIT_ASSERT(first.end == ExchangeEnd::Answered);
+    CPPUNIT_ASSERT_EQUAL(504U, first.response.result_int());
+    const ExchangeResult second = during.get();
+    CPPUNIT_ASSERT(second.end == ExchangeEnd::Answered);
+    CPPUNIT_ASSERT(second.response.result_int() >= 500);
+  }
+
+  // Guards against queries that all wait in the servers' queues until they are
+  // late, and against a refusal for load of a query that servers had.
+  void refusesWhileShardsAreOverloaded()
+  {
+    start(1);
+    for (const auto& server : m_servers) {
+      server->delayMs = 450; // past the aim of 300 ms
+    }
+    int refused = 0;
+    for (int round = 0; round < 6; ++round) {
+      std::vector<std::future<ExchangeResult>> results;
+      for (int i = 0; i < 10; ++i) {
+        results.push_back(std::async(std::launch::async,
+                                     [this] { return query(0, "/all/x"); }));
+      }
+      for (auto& result : results) {
+        const HttpResponse response = result.get().response;
+        if (response.result_int() == 503) {
+          ++refused;
+          CPPUNIT_ASSERT(!headerValue(response.base(), "Retry-After").empty());
+        }
+      }
+    }
+    CPPUNIT_ASSERT(refused > 0);
+    CPPUNIT_ASSERT(refused < 60);
+  }
+
   // Guards against a program that outlives its grace time, or that a changed
   // or broken settings file ends.
   void programStopsOnSignals()
@@ -489,12 +544,15 @@
     return result;
   }
 
-  ExchangeResult query(int aNode, const std::string& aTarget)
+  ExchangeResult query(int aNode,
+                       const std::string& aTarget,
+                       int aDeadlineMs = 1000)
   {
     HttpCall made;
     made.id = "q" + std::to_string(++m_queries);
     made.head = "GET " + aTarget + " HTTP/1.1\r\nHost: h.example\r\n" +
-                "Request-Id: " + made.id + "\r\nDeadline-Ms: 1000\r\n\r\n";
+                "Request-Id: " + made.id +
+                "\r\nDeadline-Ms: " + std::to_string(aDeadlineMs) + "\r\n\r\n";
     return call(nodeAddress(aNode), kCallerPort, made);
   }
 
