--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -33,6 +33,14 @@
   return aServers;
 }
 
+/// @returns true when the server sent a response
+bool
+isAnswer(AttemptEnd aEnd)
+{
+  return aEnd == AttemptEnd::Good || aEnd == AttemptEnd::Failed ||
+         aEnd == AttemptEnd::NotRun;
+}
+
 } // namespace
 
 const char*
@@ -215,16 +223,18 @@
   }
   const auto latency =
     std::chrono::duration_cast<std::chrono::microseconds>(aAttempt.latency());
-  logWrite(LogLevel::Info,
-           LogLine("attempt-failed")
-             .add("id", aAttempt.m_requestId)
-             .add("server", aResult.server)
-             .add("service", aAttempt.m_entry->server.service)
-             .add("end", toString(aResult.end))
-             .add("status", aResult.response.result_int())
-             .add("us", latency.count())
-             .addText("reason", aResult.reason)
-             .add("suppressed", m_failureLines.takeSuppressed()));
+  LogLine line("attempt-failed");
+  line.add("id", aAttempt.m_requestId)
+    .add("server", aResult.server)
+    .add("service", aAttempt.m_entry->server.service)
+    .add("end", toString(aResult.end))
+    .add("us", latency.count())
+    .addText("reason", aResult.reason)
+    .add("suppressed", m_failureLines.takeSuppressed());
+  if (isAnswer(aResult.end)) {
+    line.add("status", aResult.response.result_int());
+  }
+  logWrite(LogLevel::Info, line);
 }
 
 /// Says what a result means, and learns from it.
