Admission: refuse a share of the queries while the shards are overloaded

Hedges are 10% of the load and aren't the cause.

Change: a query whose parts are late as a whole (median over 0.45 of the aim, at peers as well) lowers a level; below 1 it is the share of queries that are taken. The rest get a true 503 with 40 ms to come back.

--- a/src/gather_query.cpp
+++ b/src/gather_query.cpp
@@ -18,6 +18,9 @@
 /// A peer tells that it works on a query after half of the time for its reply;
 /// without word a little later, its shards are asked directly.
 constexpr double kRelayLateShare = 0.6;
+/// Parts that take this share of the aim in the median wait in queues: without
+/// load they take a fifth of it.
+constexpr double kLoadedShare = 0.45;
 
 std::uint32_t
 microsOf(Duration aTime)
@@ -136,6 +139,7 @@
     relay.in = readBits(aReply.shards, m_query.route->shards.size());
     relay.signatures = aReply.signatures;
     relay.records = aReply.records;
+    relay.usual = microseconds(aReply.usualUs);
     if (relay.in.size() != relay.signatures.size()) {
       relay.in.clear(); // malformed: none of it can be used
       relay.signatures.clear();
@@ -231,6 +235,25 @@
          });
 }
 
+/// @returns true when at least half of the shards are slow as a whole: a few
+///          slow ones leave the median alone, and fewer queries don't help them
+bool
+GatherQuery::isLoaded() const
+{
+  const Duration most = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(m_query.route->aim) * kLoadedShare);
+  const auto isSlow = [most](Duration aUsual) {
+    return aUsual == Duration(0) || aUsual > most;
+  };
+  const std::size_t direct = m_fanOut->asked();
+  std::size_t slow = isSlow(m_fanOut->usualLatency()) ? direct : 0;
+  for (const auto& entry : m_relays) {
+    const Relay& relay = entry.second;
+    slow += relay.signOfLife && isSlow(relay.usual) ? relay.asked.size() : 0;
+  }
+  return 2 * slow >= m_query.route->shards.size();
+}
+
 /// Answers when the time or the parts call for it, else waits on.
 void
 GatherQuery::advance()
@@ -259,7 +282,10 @@
     answer();
     return;
   }
-  m_aimPassed |= aimReached;
+  if (aimReached && !m_aimPassed) {
+    m_aimPassed = true;
+    judge(isLoaded());
+  }
   wakeLater(now);
 }
 
@@ -324,10 +350,20 @@
          late ? "deadline passed" : "too few parts");
 }
 
+void
+GatherQuery::judge(bool aLate)
+{
+  if (!m_judged) {
+    m_judged = true;
+    m_query.admission->onQuery(aLate);
+  }
+}
+
 void
 GatherQuery::finish(HttpResponse aResponse, const char* aReason)
 {
   m_ended = true;
+  judge(false);
   const std::string parts = details();
   m_fanOut->learn();
   cancelAll();
--- a/src/gather_query_p.h
+++ b/src/gather_query_p.h
@@ -40,6 +40,7 @@
     std::vector<std::size_t> in;
     std::vector<std::string> signatures; ///< parallel to in
     std::string records;                 ///< merged from the parts that are in
+    Duration usual{ 0 };                 ///< median latency of the parts
     bool signOfLife = false;
     bool ended = false;
   };
@@ -52,10 +53,12 @@
   std::vector<std::size_t> directShards() const;
   std::size_t countIn() const;
   bool isWaiting() const;
+  bool isLoaded() const;
   void advance();
   void wakeLater(TimePoint aNow);
   void answer();
   void fail(TimePoint aNow);
+  void judge(bool aLate);
   void finish(HttpResponse aResponse, const char* aReason);
   std::string details() const;
   void cancelAll();
@@ -70,6 +73,7 @@
   std::size_t m_needed;
   std::size_t m_taken = 0;  ///< shards taken over from peers
   bool m_aimPassed = false; ///< too few parts were in at the aim
+  bool m_judged = false;    ///< the admission has heard of this query
   bool m_ended = false;
 };
 
--- a/src/query_context_p.h
+++ b/src/query_context_p.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "admission_p.h"
 #include "answer_timing_p.h"
 #include "dispatcher_p.h"
 #include "http_server_p.h"
@@ -38,6 +39,7 @@
   std::shared_ptr<const RoutingTable> routing;
   const Route* route = nullptr; ///< owned by routing
   std::shared_ptr<RouteTiming> timing;
+  std::shared_ptr<Admission> admission; ///< of a query over shards
   QuerySchedule schedule;
   TimePoint deadline; ///< the caller's
 
--- a/src/relay_wire_p.h
+++ b/src/relay_wire_p.h
@@ -73,6 +73,7 @@
   std::string shards;                  ///< bits of those in
   std::vector<std::string> signatures; ///< of their parts
   std::string records;
+  std::uint32_t usualUs = 0; ///< median latency of the parts, 0 when few are in
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -91,6 +92,7 @@
       wireText(aArchive, signature);
     }
     wireText(aArchive, records);
+    aArchive(usualUs);
   }
 };
 
--- a/src/relay_worker.cpp
+++ b/src/relay_worker.cpp
@@ -139,6 +139,9 @@
       }
       reply.shards = makeBits(in, m_found.route->shards.size());
       reply.records = mergeRecords(bodies, m_found.route->topRecords);
+      reply.usualUs = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<microseconds>(m_fanOut->usualLatency())
+          .count());
     }
     m_reply(MessageType::RelayReply, encode(std::move(reply)));
   }
--- a/src/shard_fan_out.cpp
+++ b/src/shard_fan_out.cpp
@@ -190,7 +190,6 @@
   aPart.attempts.clear();
 }
 
-/// @returns the median latency of the parts that are in, zero when too few are
 Duration
 ShardFanOut::usualLatency() const
 {
--- a/src/shard_fan_out_p.h
+++ b/src/shard_fan_out_p.h
@@ -51,6 +51,11 @@
   const std::string& signature(std::size_t aShard) const;
   /// @returns the shard and the servers that were asked, for the log
   std::string trace(std::size_t aShard) const;
+  /// @returns the median latency of the parts that are in, zero when too few
+  ///          are
+  Duration usualLatency() const;
+  /// @returns shards that were asked
+  std::size_t asked() const { return m_parts.size(); }
   std::size_t hedges() const { return m_hedges; }
   std::size_t retries() const { return m_retries; }
 
@@ -81,7 +86,6 @@
   void tryAgain(std::size_t aShard, Part& aPart);
   void onDue();
   void wakeLater();
-  Duration usualLatency() const;
   Duration hedgeDelay() const;
 
   QueryServices m_services;
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -10,6 +10,8 @@
 /// Configurations kept for peers' queries: in a storm of changes a query runs
 /// for as long as a few versions last.
 constexpr std::size_t kVersionsKept = 8;
+/// Callers that are refused for load come back within the aim of most routes.
+constexpr std::chrono::milliseconds kLoadedRetryAfter{ 40 };
 /// How often connections that servers closed are opened again.
 constexpr std::chrono::milliseconds kWarmEvery{ 1000 };
 
@@ -42,6 +44,7 @@
                       aExchange->reply(makeResponse(200, metricsText()));
                     })
   , m_warmTimer(aContext)
+  , m_random(aSettings.seed)
 {
 }
 
@@ -130,9 +133,6 @@
   m_server.shutdown();
 }
 
-void
-Traffic::setView(const TrafficView& aView)
-{
 void
 Traffic::leave(TimePoint aAnswerBy)
 {
@@ -140,6 +140,9 @@
   m_server.drain();
 }
 
+void
+Traffic::setView(const TrafficView& aView)
+{
   const bool routingChanged = aView.routing != m_view.routing;
   m_view = aView;
   // A host that stands by has no share of what the entry hosts divide.
@@ -174,6 +177,26 @@
     }
   }
   m_routes = std::move(kept);
+  std::map<std::string, std::shared_ptr<Admission>> admissions;
+  for (const Route& route : m_view.routing->routes()) {
+    const auto found = route.isGather()
+                         ? m_admissions.find(route.shards.front())
+                         : m_admissions.end();
+    if (found != m_admissions.end()) {
+      admissions.insert(*found);
+    }
+  }
+  m_admissions = std::move(admissions);
+}
+
+const std::shared_ptr<Admission>&
+Traffic::admissionOf(const Route& aRoute)
+{
+  auto& admission = m_admissions[aRoute.shards.front()];
+  if (!admission) {
+    admission = std::make_shared<Admission>(m_clock);
+  }
+  return admission;
 }
 
 Traffic::RouteState&
@@ -205,6 +228,20 @@
   return found;
 }
 
+void
+Traffic::refuseForLoad(const QueryContext& aQuery)
+{
+  constexpr const char* kReason = "shards are overloaded";
+  HttpResponse refusal = m_protocol.makeRefusal(kLoadedRetryAfter, kReason);
+  const unsigned status = refusal.result_int();
+  aQuery.exchange->reply(std::move(refusal));
+  recordAnswer(m_services,
+               aQuery,
+               status,
+               kReason,
+               "level " + std::to_string(aQuery.admission->level()));
+}
+
 void
 Traffic::onRequest(const HttpExchangePtr& aExchange)
 {
@@ -242,8 +279,15 @@
     query.terms.deadline ? *query.terms.deadline : route->timeLimit;
   query.schedule = state.timing->schedule(
     *route, aExchange->receivedAt(), deadline, aExchange->isFirst());
+  query.schedule.endBy(m_answerBy);
   query.deadline = aExchange->receivedAt() + deadline;
   if (route->isGather()) {
+    query.admission = admissionOf(*route);
+    if (!query.admission->takes(
+          std::uniform_real_distribution<double>()(m_random))) {
+      refuseForLoad(query);
+      return;
+    }
     std::make_shared<GatherQuery>(m_services, std::move(query))->start();
   } else {
     const std::string service = state.choice.next(route->targets);
@@ -253,4 +297,3 @@
 }
 
 } // namespace toucanridge
-  query.schedule.endBy(m_answerBy);
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <system_error>
 
@@ -64,10 +65,10 @@
   /// Takes a newer view.
   void setView(const TrafficView& aView);
   HttpServer& server() { return m_server; }
-  /// @returns requests of callers and peers that have no answer yet
   /// From now on each answer ends its connection, and each new request has its
   /// answer by a moment.
   void leave(TimePoint aAnswerBy);
+  /// @returns requests of callers and peers that have no answer yet
   std::size_t running() const
   {
     return m_server.running() + m_worker.running();
@@ -87,12 +88,15 @@
     std::chrono::milliseconds timeLimit{ 0 };
   };
 
+  /// Nothing of the query was sent.
+  void refuseForLoad(const QueryContext& aQuery);
   void onRequest(const HttpExchangePtr& aExchange);
   RelayWorker::FoundRoute findRoute(const std::string& aRoute,
                                     std::uint64_t aGatherHash);
   void warmLater();
   std::string metricsText();
   RouteState& stateOf(const Route& aRoute);
+  const std::shared_ptr<Admission>& admissionOf(const Route& aRoute);
   void forgetRoutes();
 
   const ClockI& m_clock;
@@ -111,11 +115,14 @@
   std::deque<std::shared_ptr<const RoutingTable>> m_versions;
   TrafficView m_view;
   boost::asio::steady_timer m_warmTimer;
+  TimePoint m_answerBy = TimePoint::max();
   std::atomic<std::uint32_t> m_load{ 0 };
   std::map<std::string, RouteState> m_routes; ///< by name
+  /// By the first of the shards, which several routes share.
+  std::map<std::string, std::shared_ptr<Admission>> m_admissions;
+  std::mt19937_64 m_random;
 };
 
-  TimePoint m_answerBy = TimePoint::max();
 } // namespace toucanridge
 
 #endif // TOUCANRIDGE_TRAFFIC_P_H
