--- a/src/caller_http.cpp
+++ b/src/caller_http.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "answer_json_p.h"
 #include "http_server_p.h"
 #include "http_thread_p.h"
 #include "json_p.h"
@@ -96,21 +97,11 @@
 void
 writeAnswer(JsonWriter& aBody, const QueryAnswer& aAnswer)
 {
-  aBody.text("request_id", aAnswer.requestId);
-  aBody.text("outcome", toString(aAnswer.outcome));
-  aBody.text("reason", aAnswer.reason);
-  aBody.beginObject("coverage");
-  aBody.number("answered", aAnswer.coverage.answered);
-  aBody.number("total", aAnswer.coverage.total);
-  aBody.endObject();
-  aBody.number("snapshot", aAnswer.snapshot);
-  aBody.number("revision", aAnswer.revision);
+  writeOutcome(aBody, aAnswer);
   aBody.beginArray("rules");
   for (const GoverningRule& rule : aAnswer.rules) {
     aBody.beginObject();
-    aBody.number("line", rule.line);
-    aBody.text("text", rule.text);
-    aBody.text("asked_by", rule.askedBy);
+    writeRule(aBody, rule);
     aBody.endObject();
   }
   aBody.endArray();
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -353,6 +353,7 @@
   if (changed.empty()) {
     return;
   }
+  m_itemsChanged = m_clock.now();
   logWrite(LogLevel::Info,
            LogLine("items-changed")
              .add("from", before)
@@ -405,7 +406,9 @@
   TrafficView view;
   view.routing = m_routing;
   view.catalogue = m_catalogue;
-  for (Host& host : entryHosts()) {
+  std::vector<Host> entries = entryHosts();
+  view.control = report(entries);
+  for (Host& host : entries) {
     ++view.entryHosts;
     if (host.name == m_settings.host) {
       view.isEntry = true;
@@ -419,6 +422,38 @@
   m_onView(view);
 }
 
+std::shared_ptr<const ControlReport>
+EntryControl::report(const std::vector<Host>& aEntryHosts) const
+{
+  constexpr const char* kStates[] = { "alive", "suspect", "dead", "leaving" };
+  const auto report = std::make_shared<ControlReport>();
+  report->host = m_settings.host;
+  report->dataCentre = m_settings.dataCentre;
+  report->ready = isReady();
+  report->reading = m_reading;
+  report->inTrouble = m_adapter.source.inTrouble();
+  report->revision = m_items.revision();
+  report->changedAt = m_itemsChanged;
+  report->startedAt = m_started;
+  for (const Host& host : m_roster.list().hosts) {
+    PeerStatus peer{ host.name, host.dataCentre };
+    peer.state =
+      host.name == m_settings.host
+        ? "self"
+        : kStates[static_cast<std::size_t>(m_membership.stateOf(host.name))];
+    const auto heard = m_peerRevisions.find(host.name);
+    peer.revision = host.name == m_settings.host     ? report->revision
+                    : heard != m_peerRevisions.end() ? heard->second
+                                                     : 0;
+    peer.entry = std::any_of(
+      aEntryHosts.begin(), aEntryHosts.end(), [&host](const Host& aEntry) {
+        return aEntry.name == host.name;
+      });
+    report->peers.push_back(std::move(peer));
+  }
+  return report;
+}
+
 PeerState
 EntryControl::state() const
 {
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -82,6 +82,8 @@
   void takeItems(const ItemChanges& aChanges, const char* aSource);
   void takeRouting(const PublishedItem& aItem);
   void publish();
+  std::shared_ptr<const ControlReport> report(
+    const std::vector<Host>& aEntryHosts) const;
   bool serves(const std::string& aHost) const;
   std::vector<Host> servingHosts() const;
   std::vector<Host> entryHosts() const;
@@ -114,6 +116,7 @@
   std::shared_ptr<const RoutingTable> m_routing;
   std::shared_ptr<const ServerCatalogue> m_catalogue;
   TimePoint m_nextPublish;
+  TimePoint m_itemsChanged;
   bool m_peersChanged = false; ///< a peer began or ceased to serve
   std::map<std::string, std::size_t> m_shardServers; ///< by data centre
   std::map<std::string, std::uint64_t> m_peerRevisions;
--- /dev/null
+++ b/src/entry_status_p.h
@@ -0,0 +1,89 @@
+#ifndef TOUCANRIDGE_ENTRY_STATUS_P_H
+#define TOUCANRIDGE_ENTRY_STATUS_P_H
+
+/// What a host that serves published routes knows, for operators.
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "clock_p.h"
+
+namespace toucanridge {
+
+/// One host of the fleet, as another sees it.
+struct PeerStatus
+{
+  std::string host;
+  std::string dataCentre;
+  std::string state;
+  std::uint64_t revision = 0; ///< of its copy of the platform's items
+  bool entry = false;         ///< callers are told of it
+};
+
+/// The control thread's part, published with each view.
+struct ControlReport
+{
+  std::string host;
+  std::string dataCentre;
+  bool ready = false;
+  bool reading = false;   ///< it reads the platform itself
+  bool inTrouble = false; ///< and the platform doesn't answer
+  std::uint64_t revision = 0;
+  TimePoint changedAt; ///< when the copy last changed
+  TimePoint startedAt;
+  std::vector<PeerStatus> peers;
+};
+
+/// One backend server, as this host sees it.
+struct ServerStatus
+{
+  std::string id;
+  std::string service;
+  std::string address; ///< "address:port"
+  std::string dataCentre;
+  std::string state; ///< ready, draining, evacuated, replaced or avoided
+  bool cold = false;
+  double slowness = 1.0; ///< latency relative to others
+  double failures = 0.0; ///< share of requests
+  std::uint32_t running = 0;
+  std::size_t connections = 0;
+  std::size_t waiting = 0; ///< requests that wait for a connection
+};
+
+/// One route of the configuration in force.
+struct RouteStatus
+{
+  std::string name;
+  std::string host;
+  std::string prefix;
+  std::size_t shards = 0;  ///< 0 for a route to one server
+  std::size_t lacking = 0; ///< services without a usable server
+  double admission = 1.0;  ///< share of the queries that is taken
+};
+
+/// The traffic thread's part.
+struct TrafficReport
+{
+  std::uint64_t version = 0; ///< of the configuration in force
+  std::size_t running = 0;   ///< queries of callers and peers
+  std::vector<RouteStatus> routes;
+  std::vector<ServerStatus> servers;
+};
+
+/// @param[in] aControl may be null before the first view
+/// @returns JSON text
+std::string
+renderEntryStatus(const std::shared_ptr<const ControlReport>& aControl,
+                  const TrafficReport& aTraffic,
+                  TimePoint aNow);
+
+/// @param[in] aStatus JSON text of renderEntryStatus()
+/// @returns tables for a terminal
+std::string
+entryStatusTable(const std::string& aStatus);
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_ENTRY_STATUS_P_H
--- a/src/json.cpp
+++ b/src/json.cpp
@@ -68,4 +68,14 @@
   return { buffer.GetString(), buffer.GetSize() };
 }
 
+std::string
+jsonCell(const Json& aObject, const char* aName)
+{
+  const Json* value = jsonMember(aObject, aName);
+  if (value == nullptr) {
+    return "-";
+  }
+  return value->IsString() ? jsonText(aObject, aName) : jsonSerialize(*value);
+}
+
 } // namespace toucanridge
--- a/src/json_p.h
+++ b/src/json_p.h
@@ -47,6 +47,10 @@
 std::string
 jsonSerialize(const Json& aValue);
 
+/// @returns a member as text for a table, a dash when it is absent
+std::string
+jsonCell(const Json& aObject, const char* aName);
+
 /// Writes JSON text; begins and ends must pair.
 class JsonWriter
 {
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -101,6 +101,35 @@
     }
   }
   m_servers = std::move(servers);
+  m_evacuated = aCatalogue.evacuated;
+}
+
+std::vector<ServerStatus>
+ServerTable::status() const
+{
+  const TimePoint now = m_clock.now();
+  std::vector<ServerStatus> list;
+  for (const auto& [id, entry] : m_servers) {
+    const BackendServer& server = entry->server;
+    ServerStatus status;
+    status.id = id;
+    status.service = server.service;
+    status.address = server.address + ":" + std::to_string(server.port);
+    status.dataCentre = server.dataCentre;
+    status.state = server.draining                            ? "draining"
+                   : m_evacuated.count(server.dataCentre) > 0 ? "evacuated"
+                   : entry->replaced                          ? "replaced"
+                   : entry->health.isAvoided(now)             ? "avoided"
+                                                              : "ready";
+    status.cold = entry->cold.isCold(now);
+    status.slowness = entry->health.slowness(now);
+    status.failures = entry->health.failures(now);
+    status.running = entry->running;
+    status.connections = entry->pool->size();
+    status.waiting = entry->pool->waiting();
+    list.push_back(std::move(status));
+  }
+  return list;
 }
 
 void
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
 
 #include "clock_p.h"
 #include "cold_limit_p.h"
+#include "entry_status_p.h"
 #include "http_client_p.h"
 #include "routing_p.h"
 #include "server_health_p.h"
@@ -55,6 +57,8 @@
   {
     return aServer.dataCentre == m_dataCentre;
   }
+  /// @returns every published server
+  std::vector<ServerStatus> status() const;
   /// @returns connections opened to servers since the start
   std::uint64_t connectionsOpened() const;
 
@@ -68,6 +72,7 @@
   std::size_t m_sharers = 0;
   std::map<std::string, ServerEntryPtr> m_servers; ///< by id
   std::map<std::string, std::vector<ServerEntryPtr>> m_usable;
+  std::set<std::string> m_evacuated; ///< data centres
   std::vector<ServerEntryPtr> m_none;
   std::uint64_t m_openedBefore = 0; ///< by pools that are gone
 };
--- a/src/status.cpp
+++ b/src/status.cpp
@@ -4,7 +4,7 @@
 #include <sstream>
 #include <type_traits>
 
-#include "json_p.h"
+#include "answer_json_p.h"
 #include "log_p.h"
 
 namespace toucanridge {
@@ -301,9 +301,7 @@
   aOut.beginArray("rules");
   for (const auto& rule : aRules) {
     aOut.beginObject();
-    aOut.number("line", rule.line);
-    aOut.text("text", rule.text);
-    aOut.text("asked_by", rule.askedBy);
+    writeRule(aOut, rule);
     if constexpr (std::is_same_v<typename Rules::value_type, Provenance>) {
       aOut.text("reason", rule.reason);
     }
@@ -359,16 +357,8 @@
 {
   JsonWriter out;
   out.beginObject();
-  out.text("request_id", aAnswer.requestId);
   out.text("class", aAnswer.queryClass);
-  out.text("outcome", toString(aAnswer.outcome));
-  out.text("reason", aAnswer.reason);
-  out.beginObject("coverage");
-  out.number("answered", aAnswer.coverage.answered);
-  out.number("total", aAnswer.coverage.total);
-  out.endObject();
-  out.number("snapshot", aAnswer.snapshot);
-  out.number("revision", aAnswer.revision);
+  writeOutcome(out, aAnswer);
   out.number("took_us", aAnswer.took.count());
   writeRules(out, *aAnswer.rules);
   out.endObject();
--- a/src/status_table.cpp
+++ b/src/status_table.cpp
@@ -8,21 +8,11 @@
 #include <sstream>
 
 #include "json_p.h"
+#include "text_table_p.h"
 
 namespace toucanridge {
 namespace {
 
-/// A text cell for any JSON value; a missing one is a dash.
-std::string
-cell(const Json& aObject, const char* aName)
-{
-  const Json* value = jsonMember(aObject, aName);
-  if (value == nullptr) {
-    return "-";
-  }
-  return value->IsString() ? jsonText(aObject, aName) : jsonSerialize(*value);
-}
-
 /// @returns a member, a null value when it is absent
 const Json&
 child(const Json& aObject, const char* aName)
@@ -32,59 +22,23 @@
   return value != nullptr ? *value : sNull;
 }
 
-/// Rows of text with the columns aligned.
-class Table
-{
-public:
-  explicit Table(std::vector<std::string> aTitles)
-    : m_rows{ std::move(aTitles) }
-  {
-  }
-
-  void add(std::vector<std::string> aRow) { m_rows.push_back(std::move(aRow)); }
-  bool empty() const { return m_rows.size() == 1; }
-
-  void print(std::ostream& aOut) const
-  {
-    std::vector<std::size_t> widths(m_rows.front().size(), 0);
-    for (const auto& row : m_rows) {
-      for (std::size_t i = 0; i < row.size(); ++i) {
-        widths[i] = std::max(widths[i], row[i].size());
-      }
-    }
-    for (const auto& row : m_rows) {
-      for (std::size_t i = 0; i < row.size(); ++i) {
-        aOut << (i == 0 ? "" : "  ") << row[i];
-        if (i + 1 < row.size()) {
-          aOut << std::string(widths[i] - row[i].size(), ' ');
-        }
-      }
-      aOut << '\n';
-    }
-    aOut << '\n';
-  }
-
-private:
-  std::vector<std::vector<std::string>> m_rows;
-};
-
 /// One row for each host: the nodes that answered, and the listed others.
 void
 printNodes(std::ostream& aOut, const std::vector<JsonDocument>& aNodes)
 {
-  Table table({ "host",
-                "data centre",
-                "rules",
-                "hosts",
-                "queries",
-                "whole",
-                "partial",
-                "not-run",
-                "unknown",
-                "slots",
-                "in use",
-                "queued",
-                "refused rules" });
+  TextTable table({ "host",
+                    "data centre",
+                    "rules",
+                    "hosts",
+                    "queries",
+                    "whole",
+                    "partial",
+                    "not-run",
+                    "unknown",
+                    "slots",
+                    "in use",
+                    "queued",
+                    "refused rules" });
   std::uint64_t lowest = std::numeric_limits<std::uint64_t>::max();
   std::uint64_t highest = 0;
   for (const Json& node : aNodes) {
@@ -100,19 +54,19 @@
     }
     lowest = std::min(lowest, jsonUnsigned(view, "rules_revision"));
     highest = std::max(highest, jsonUnsigned(view, "rules_revision"));
-    table.add({ cell(node, "host"),
-                cell(node, "data_centre"),
-                cell(view, "rules_revision"),
-                cell(view, "hosts_revision"),
-                cell(counters, "queries"),
-                cell(counters, "whole"),
-                cell(counters, "partial"),
-                cell(counters, "not_run"),
-                cell(counters, "unknown"),
+    table.add({ jsonCell(node, "host"),
+                jsonCell(node, "data_centre"),
+                jsonCell(view, "rules_revision"),
+                jsonCell(view, "hosts_revision"),
+                jsonCell(counters, "queries"),
+                jsonCell(counters, "whole"),
+                jsonCell(counters, "partial"),
+                jsonCell(counters, "not_run"),
+                jsonCell(counters, "unknown"),
                 std::to_string(held),
                 std::to_string(inUse),
                 std::to_string(queued),
-                cell(node, "refused_revision") });
+                jsonCell(node, "refused_revision") });
   }
   table.print(aOut);
   if (aNodes.size() > 1) {
@@ -124,20 +78,20 @@
 void
 printView(std::ostream& aOut, const Json& aView)
 {
-  Table centres({ "data centre", "state", "rule line", "asked by" });
+  TextTable centres({ "data centre", "state", "rule line", "asked by" });
   for (const Json& centre : jsonArray(aView, "data_centres")) {
-    centres.add({ cell(centre, "data_centre"),
-                  cell(centre, "in_service") == "true" ? "in" : "out",
-                  cell(centre, "line"),
-                  cell(centre, "asked_by") });
+    centres.add({ jsonCell(centre, "data_centre"),
+                  jsonCell(centre, "in_service") == "true" ? "in" : "out",
+                  jsonCell(centre, "line"),
+                  jsonCell(centre, "asked_by") });
   }
   centres.print(aOut);
-  Table hosts({ "listed host", "data centre", "list", "new work" });
+  TextTable hosts({ "listed host", "data centre", "list", "new work" });
   for (const Json& host : jsonArray(aView, "hosts")) {
-    hosts.add({ cell(host, "host"),
-                cell(host, "data_centre"),
-                cell(host, "state"),
-                cell(host, "in_service") == "true" ? "yes" : "no" });
+    hosts.add({ jsonCell(host, "host"),
+                jsonCell(host, "data_centre"),
+                jsonCell(host, "state"),
+                jsonCell(host, "in_service") == "true" ? "yes" : "no" });
   }
   hosts.print(aOut);
 }
@@ -158,18 +112,18 @@
   std::map<std::string, Server> servers;
   for (const Json& node : aNodes) {
     for (const Json& entry : jsonArray(node, "servers")) {
-      Server& server = servers[cell(entry, "server")];
+      Server& server = servers[jsonCell(entry, "server")];
       server.held += jsonUnsigned(entry, "slots_held");
       server.inUse += jsonUnsigned(entry, "in_use");
       server.queued += jsonUnsigned(entry, "queued");
       if (jsonUnsigned(entry, "slots_held") > 0) {
-        server.holders.insert(cell(node, "host"));
+        server.holders.insert(jsonCell(node, "host"));
       }
       for (const auto& field : entry.GetObject()) {
         const std::string name = field.name.GetString();
         if (name != "server" && name != "slots_held" && name != "in_use" &&
             name != "queued") {
-          server.other.insert(name + "=" + cell(entry, name.c_str()));
+          server.other.insert(name + "=" + jsonCell(entry, name.c_str()));
         }
       }
     }
@@ -181,12 +135,12 @@
     }
     return joined.empty() ? std::string("-") : joined;
   };
-  Table table({ "server",
-                "slots held",
-                "in use",
-                "queued",
-                "holders",
-                "warmth and more" });
+  TextTable table({ "server",
+                    "slots held",
+                    "in use",
+                    "queued",
+                    "holders",
+                    "warmth and more" });
   for (const auto& [name, server] : servers) {
     table.add({ name,
                 std::to_string(server.held),
@@ -213,9 +167,9 @@
     if (kShown.count(name) != 0) {
       continue;
     }
-    aOut << cell(aNode, "host") << ' ' << name;
+    aOut << jsonCell(aNode, "host") << ' ' << name;
     if (!field.value.IsArray()) {
-      aOut << ": " << cell(aNode, name.c_str()) << '\n';
+      aOut << ": " << jsonCell(aNode, name.c_str()) << '\n';
       continue;
     }
     aOut << ": " << field.value.Size() << '\n';
@@ -230,10 +184,10 @@
 {
   const std::uint64_t line = jsonUnsigned(aRule, "line");
   aOut << std::setw(8) << (line == 0 ? "built-in" : std::to_string(line))
-       << "  " << cell(aRule, "text") << "  # asked by "
-       << cell(aRule, "asked_by");
+       << "  " << jsonCell(aRule, "text") << "  # asked by "
+       << jsonCell(aRule, "asked_by");
   if (jsonMember(aRule, "reason") != nullptr) {
-    aOut << " : " << cell(aRule, "reason");
+    aOut << " : " << jsonCell(aRule, "reason");
   }
   aOut << '\n';
 }
@@ -249,8 +203,9 @@
     return hosts;
   }
   for (const Json& host : jsonArray(child(*status, "view"), "hosts")) {
-    hosts.push_back({ cell(host, "host"),
-                      cell(host, "address") + ":" + cell(host, "http_port") });
+    hosts.push_back(
+      { jsonCell(host, "host"),
+        jsonCell(host, "address") + ":" + jsonCell(host, "http_port") });
   }
   return hosts;
 }
@@ -297,15 +252,15 @@
   std::ostringstream out;
   for (const char* name :
        { "request_id", "class", "outcome", "reason", "snapshot", "revision" }) {
-    const std::string value = cell(body, name);
+    const std::string value = jsonCell(body, name);
     if (value != "-" && !value.empty()) {
       out << std::left << std::setw(12) << name << value << '\n';
     }
   }
   const Json& coverage = child(body, "coverage");
   if (coverage.IsObject()) {
-    out << std::setw(12) << "coverage" << cell(coverage, "answered") << '/'
-        << cell(coverage, "total") << '\n';
+    out << std::setw(12) << "coverage" << jsonCell(coverage, "answered") << '/'
+        << jsonCell(coverage, "total") << '\n';
   }
   out << std::right;
   for (const Json& rule : jsonArray(body, "rules")) {
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -1,5 +1,7 @@
 #include "traffic_p.h"
 
+#include <algorithm>
+
 #include "gather_query_p.h"
 #include "log_p.h"
 #include "single_query_p.h"
@@ -38,11 +40,9 @@
   , m_server(aContext,
              aClock,
              [this](const HttpExchangePtr& aExchange) { onRequest(aExchange); })
-  , m_metricsServer(aContext,
-                    aClock,
-                    [this](const HttpExchangePtr& aExchange) {
-                      aExchange->reply(makeResponse(200, metricsText()));
-                    })
+  , m_pages(aContext,
+            aClock,
+            [this](const HttpExchangePtr& aExchange) { onPage(aExchange); })
   , m_warmTimer(aContext)
   , m_random(aSettings.seed)
 {
@@ -75,10 +75,66 @@
   };
   const std::error_code error =
     m_links.init(m_settings.address, m_settings.relayPort, std::move(handlers));
+  const std::error_code unseen =
+    m_pages.init(m_settings.address, m_settings.metricsPort);
+  if (unseen) {
+    // A host without its pages serves callers all the same.
+    logWrite(LogLevel::Error,
+             LogLine("pages-unavailable")
+               .add("port", m_settings.metricsPort)
+               .addText("reason", unseen.message()));
+  }
   warmLater();
   return error ? error : m_server.init(m_settings.address, m_settings.port);
 }
 
+void
+Traffic::onPage(const HttpExchangePtr& aExchange)
+{
+  const auto target = aExchange->request().target();
+  const std::string_view path = pathOf({ target.data(), target.size() });
+  if (path == "/metrics") {
+    HttpResponse page = makeResponse(200, metricsText());
+    page.set("Content-Type", "text/plain; version=0.0.4");
+    aExchange->reply(std::move(page));
+  } else if (path == "/status") {
+    aExchange->reply(makeJsonResponse(
+      200, renderEntryStatus(m_view.control, report(), m_clock.now())));
+  } else {
+    aExchange->reply(makeResponse(404, "no such page\n"));
+  }
+}
+
+TrafficReport
+Traffic::report() const
+{
+  TrafficReport report;
+  report.running = running();
+  report.servers = m_servers.status();
+  if (!m_view.routing) {
+    return report;
+  }
+  report.version = m_view.routing->version();
+  for (const Route& route : m_view.routing->routes()) {
+    RouteStatus status{ route.name, route.host, route.prefix };
+    status.shards = route.shards.size();
+    for (const std::string& shard : route.shards) {
+      status.lacking += m_servers.usable(shard).empty() ? 1 : 0;
+    }
+    for (const auto& target : route.targets) {
+      status.lacking += m_servers.usable(target.service).empty() ? 1 : 0;
+    }
+    const auto admission = route.isGather()
+                             ? m_admissions.find(route.shards.front())
+                             : m_admissions.end();
+    if (admission != m_admissions.end()) {
+      status.admission = std::min(1.0, admission->second->level());
+    }
+    report.routes.push_back(std::move(status));
+  }
+  return report;
+}
+
 std::string
 Traffic::metricsText()
 {
@@ -129,7 +185,7 @@
 {
   m_warmTimer.cancel();
   m_links.shutdown();
-  m_metricsServer.shutdown();
+  m_pages.shutdown();
   m_server.shutdown();
 }
 
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "dispatcher_p.h"
+#include "entry_status_p.h"
 #include "http_server_p.h"
 #include "peer_link_p.h"
 #include "query_context_p.h"
@@ -37,6 +38,7 @@
   std::size_t entryHosts = 0; ///< hosts that take callers' queries
   bool isEntry = false;       ///< this host is one of them
   std::vector<Host> peers;    ///< the others
+  std::shared_ptr<const ControlReport> control; ///< for the status page
 };
 
 struct TrafficSettings
@@ -95,6 +97,8 @@
                                     std::uint64_t aGatherHash);
   void warmLater();
   std::string metricsText();
+  TrafficReport report() const;
+  void onPage(const HttpExchangePtr& aExchange);
   RouteState& stateOf(const Route& aRoute);
   const std::shared_ptr<Admission>& admissionOf(const Route& aRoute);
   void forgetRoutes();
@@ -110,7 +114,7 @@
   QueryServices m_services;
   RelayWorker m_worker;
   HttpServer m_server;
-  HttpServer m_metricsServer;
+  HttpServer m_pages; ///< metrics and status
   /// Newest last; a peer may be a few versions behind or ahead.
   std::deque<std::shared_ptr<const RoutingTable>> m_versions;
   TrafficView m_view;
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -14,6 +14,8 @@
 #include <unistd.h>
 
 #include "entry_node_p.h"
+#include "entry_status_p.h"
+#include "json_p.h"
 #include "platform_documents.h"
 #include "platform_fakes.h"
 #include "platform_protocol.h"
@@ -114,6 +116,7 @@
   CPPUNIT_TEST(shutdownCutsNoRequest);
   CPPUNIT_TEST(stopAnswersWhatStillRuns);
   CPPUNIT_TEST(refusesWhileShardsAreOverloaded);
+  CPPUNIT_TEST(servesMetricsAndStatus);
   CPPUNIT_TEST(programStopsOnSignals);
   CPPUNIT_TEST_SUITE_END();
 
@@ -390,6 +393,34 @@
     CPPUNIT_ASSERT(refused < 60);
   }
 
+  // Guards against pages that nothing listens for, and against a status that
+  // doesn't show a server that can't be used.
+  void servesMetricsAndStatus()
+  {
+    m_store->put("servers/i-3", serverEntry("s1", 3, "dc-b", "draining"));
+    start(2);
+    query(0, "/all/x");
+    const std::string metrics = page("/metrics");
+    CPPUNIT_ASSERT_MESSAGE(
+      metrics, metrics.find("toucanridge_first_attempts") != std::string::npos);
+    const auto status = parseJson(page("/status"));
+    CPPUNIT_ASSERT(status.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("host-0"), jsonText(*status, "host"));
+    CPPUNIT_ASSERT_EQUAL(2U, jsonArray(*status, "peers").Size());
+    CPPUNIT_ASSERT_EQUAL(3U, jsonArray(*status, "routes").Size());
+    const auto servers = jsonArray(*status, "servers");
+    CPPUNIT_ASSERT_EQUAL(static_cast<unsigned>(m_servers.size()),
+                         servers.Size());
+    for (const Json& server : servers) {
+      CPPUNIT_ASSERT_EQUAL(
+        std::string(jsonText(server, "server") == "i-3" ? "draining" : "ready"),
+        jsonText(server, "state"));
+    }
+    CPPUNIT_ASSERT(entryStatusTable(page("/status")).find("i-3") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::string("no such page\n"), page("/other"));
+  }
+
   // Guards against a program that outlives its grace time, or that a changed
   // or broken settings file ends.
   void programStopsOnSignals()
@@ -556,6 +587,14 @@
     return call(nodeAddress(aNode), kCallerPort, made);
   }
 
+  std::string page(const std::string& aTarget)
+  {
+    HttpCall made;
+    made.head = "GET " + aTarget + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    return call(nodeAddress(0), EntrySettings().metricsPort, made)
+      .response.body();
+  }
+
   bool isReady(int aNode)
   {
     HttpCall made;
