--- a/src/entry_status.cpp
+++ b/src/entry_status.cpp
@@ -82,6 +82,7 @@
   TextTable table(aColumns);
   for (const Json& entry : jsonArray(aStatus, aList)) {
     std::vector<std::string> row;
+    row.reserve(aColumns.size());
     for (const std::string& column : aColumns) {
       row.push_back(jsonCell(entry, column.c_str()));
     }
--- a/src/platform_http.cpp
+++ b/src/platform_http.cpp
@@ -159,8 +159,8 @@
       HttpCall call;
       call.head = "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
       const auto reading = std::make_shared<Reading>(thread.context());
-      reading->ticket =
-        pool->send(std::move(call), [reading, done](ExchangeResult aResult) {
+      reading->ticket = pool->send(
+        std::move(call), [reading, done](const ExchangeResult& aResult) {
           reading->timer.cancel();
           done(aResult);
         });
--- a/tests/backend_http_test.cpp
+++ b/tests/backend_http_test.cpp
@@ -245,6 +245,7 @@
       m_backend->send(std::move(made), aDone);
     };
     std::vector<std::thread> senders;
+    senders.reserve(kSends / 2);
     for (int i = 0; i < kSends / 2; ++i) {
       senders.emplace_back([&, i] {
         sendFrom(i, [&, i](const BackendReply&) {
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -376,8 +376,10 @@
     }
     int refused = 0;
     for (int round = 0; round < 6; ++round) {
+      constexpr std::size_t kAtOnce = 10;
       std::vector<std::future<ExchangeResult>> results;
-      for (int i = 0; i < 10; ++i) {
+      results.reserve(kAtOnce);
+      for (std::size_t i = 0; i < kAtOnce; ++i) {
         results.push_back(std::async(std::launch::async,
                                      [this] { return query(0, "/all/x"); }));
       }
