--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -298,19 +298,14 @@
                "level " + std::to_string(aQuery.admission->level()));
 }
 
-void
-Traffic::onRequest(const HttpExchangePtr& aExchange)
+/// @returns the route of a request in the configuration in force, null when
+///          none matches
+const Route*
+Traffic::match(const HttpRequest& aRequest) const
 {
-  const HttpRequest& request = aExchange->request();
-  m_load = static_cast<std::uint32_t>(m_server.running());
-  if (!m_view.routing || !m_view.catalogue) {
-    aExchange->reply(
-      m_protocol.makeRefusal(kRetryAfter, "no configuration yet"));
-    return;
-  }
-  const std::string_view host = headerValue(request.base(), "Host");
+  const std::string_view host = headerValue(aRequest.base(), "Host");
   const std::string_view path =
-    pathOf({ request.target().data(), request.target().size() });
+    pathOf({ aRequest.target().data(), aRequest.target().size() });
   const Route* route = m_view.routing->find(host, path);
   if (route == nullptr) {
     route = m_view.routing->find(hostWithoutPort(host), path);
@@ -321,34 +316,55 @@
                .add("version", m_view.routing->version())
                .addText("host", std::string(host))
                .addText("path", std::string(path)));
+  }
+  return route;
+}
+
+void
+Traffic::onRequest(const HttpExchangePtr& aExchange)
+{
+  m_load = static_cast<std::uint32_t>(m_server.running());
+  if (!m_view.routing || !m_view.catalogue) {
+    aExchange->reply(
+      m_protocol.makeRefusal(kRetryAfter, "no configuration yet"));
+    return;
+  }
+  const Route* route = match(aExchange->request());
+  if (route == nullptr) {
     aExchange->reply(makeResponse(404, "no route\n"));
     return;
   }
-  RouteState& state = stateOf(*route);
+  begin(aExchange, *route);
+}
+
+void
+Traffic::begin(const HttpExchangePtr& aExchange, const Route& aRoute)
+{
+  RouteState& state = stateOf(aRoute);
   QueryContext query;
   query.exchange = aExchange;
-  query.terms = m_protocol.readTerms(request);
+  query.terms = m_protocol.readTerms(aExchange->request());
   query.routing = m_view.routing;
-  query.route = route;
+  query.route = &aRoute;
   query.timing = state.timing;
   const Duration deadline =
-    query.terms.deadline ? *query.terms.deadline : route->timeLimit;
+    query.terms.deadline ? *query.terms.deadline : aRoute.timeLimit;
   query.schedule = state.timing->schedule(
-    *route, aExchange->receivedAt(), deadline, aExchange->isFirst());
+    aRoute, aExchange->receivedAt(), deadline, aExchange->isFirst());
   query.schedule.endBy(m_answerBy);
   query.deadline = aExchange->receivedAt() + deadline;
-  if (route->isGather()) {
-    query.admission = admissionOf(*route);
-    if (!query.admission->takes(
-          std::uniform_real_distribution<double>()(m_random))) {
-      refuseForLoad(query);
-      return;
-    }
-    std::make_shared<GatherQuery>(m_services, std::move(query))->start();
-  } else {
-    const std::string service = state.choice.next(route->targets);
+  if (!aRoute.isGather()) {
+    const std::string service = state.choice.next(aRoute.targets);
     std::make_shared<SingleQuery>(m_services, std::move(query), service)
       ->start();
+    return;
+  }
+  query.admission = admissionOf(aRoute);
+  if (query.admission->takes(
+        std::uniform_real_distribution<double>()(m_random))) {
+    std::make_shared<GatherQuery>(m_services, std::move(query))->start();
+  } else {
+    refuseForLoad(query);
   }
 }
 
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -92,6 +92,8 @@
 
   /// Nothing of the query was sent.
   void refuseForLoad(const QueryContext& aQuery);
+  const Route* match(const HttpRequest& aRequest) const;
+  void begin(const HttpExchangePtr& aExchange, const Route& aRoute);
   void onRequest(const HttpExchangePtr& aExchange);
   RelayWorker::FoundRoute findRoute(const std::string& aRoute,
                                     std::uint64_t aGatherHash);
