Stop: no request is read once the last one has ended

Cause: between the check that no request runs and the end of the process a new request could be read and passed on, and was cut 0.4 ms later.

Change: the traffic thread that sees no request running closes the server in the same step. The soak notes when its own stand-ins were held up.

--- a/soak/run.py
+++ b/soak/run.py
@@ -33,6 +33,8 @@
 FINAL_REQUESTS = 40
 GRACE_S = 6.0
 START_LIMIT_S = 8.0
+OWN_TICK_S = 0.05
+OWN_DELAY_S = 0.2       # a smaller one changes no check by much
 SIGNALS_READY_S = 0.5   # a younger process may end by the signal itself
 ZONES = ["dc-a", "dc-b"]
 FIRST_NET = 100         # 127.100.x.x is the first seed's network
@@ -162,6 +164,8 @@
         self.net = net
         self.zones = ZONES
         self.evacuated = set()
+        self.began = now()
+        self.own_delay_s = 0.0
         self.ledger = world.Ledger()
         self.findings = []
         self.store = world.Store((self.ip(1, 0), STORE))
@@ -343,15 +347,29 @@
         running = set()
         # Generators of their own make the series the same in every run.
         series = random.Random("series %d" % self.seed)
-        began = now()
+        self.began = now()
         while now() < until:
             await asyncio.sleep(series.uniform(0.2, 2.5))
             kind = series.choice(kinds)
-            print("%6.2f %s" % (now() - began, kind.__name__), file=self.trace)
+            print("%6.2f %s" % (now() - self.began, kind.__name__),
+                  file=self.trace)
             rng = random.Random("%d %d" % (self.seed, len(running)))
             running.add(asyncio.ensure_future(kind(self, rng)))
         await asyncio.gather(*running)
 
+    async def watch_own_delay(self):
+        """Notes when the stand-ins themselves were held up: what they saw then
+        came later than the hosts sent it."""
+        while True:
+            began = now()
+            await asyncio.sleep(OWN_TICK_S)
+            late = now() - began - OWN_TICK_S
+            if late > OWN_DELAY_S:
+                self.own_delay_s = max(self.own_delay_s, late)
+                self.ledger.note("stand-ins held up", None, began, now())
+                print("%6.2f held up %.2f s" % (now() - self.began, late),
+                      file=self.trace)
+
     async def finish(self):
         await asyncio.sleep(RECOVERY_S)
         for i in range(FINAL_REQUESTS):
@@ -364,6 +382,7 @@
 
     async def play(self):
         self.trace = open(os.path.join(self.directory, "faults.log"), "w")
+        watch = asyncio.ensure_future(self.watch_own_delay())
         try:
             await self.start()
             until = now() + self.options.seconds
@@ -371,6 +390,7 @@
                                  self.trouble(until - 3.0))
             await self.finish()
         finally:
+            watch.cancel()
             self.trace.close()
             for node in self.nodes:
                 if node.process and node.process.poll() is None:
@@ -400,6 +420,8 @@
     report = "seed %d: %s, %d requests, %d served, %d runs, %d events" % (
         seed, "FAILED" if findings else "ok", len(attempts), served,
         sum(map(len, fleet.ledger.runs.values())), len(fleet.ledger.events))
+    if fleet.own_delay_s > 0:
+        report += ", stand-ins held up %.2f s" % fleet.own_delay_s
     for finding in findings[:10]:
         report += "\n  " + finding
     if findings and options.keep:
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -127,6 +127,10 @@
 {
   boost::asio::post(m_trafficContext, [this] {
     const std::size_t running = m_traffic.running();
+    if (running == 0) {
+      // A request that is read from now on would be cut with the process.
+      m_traffic.server().shutdown();
+    }
     boost::asio::post(m_controlContext,
                       [this, running] { onRunning(running); });
   });
@@ -153,6 +157,7 @@
 EntryNode::answerRest()
 {
   boost::asio::post(m_trafficContext, [this] {
+    m_traffic.server().stopAccepting();
     m_traffic.server().answerRunning(
       makeResponse(504, "the host stops, the outcome is unknown\n"));
   });
@@ -162,7 +167,10 @@
 void
 EntryNode::end()
 {
-  m_controlContext.stop();
+  boost::asio::post(m_trafficContext, [this] {
+    m_traffic.server().shutdown();
+    m_controlContext.stop();
+  });
 }
 
 void
