Deadlines: a server is told the time left when its request is written

Cause: the head of a request, with the time left, was built before the request waited for a connection; connects take up to 700 ms and a pool at its limit makes requests wait.

Change: the connection adds the deadline header as it writes, also towards the own interface's servers.

Test: tellsTheTimeLeftWhenItWrites.

--- a/src/backend_http.cpp
+++ b/src/backend_http.cpp
@@ -45,7 +45,7 @@
 }
 
 HttpCall
-makeCall(const BackendCall& aCall)
+makeCall(const BackendCall& aCall, TimePoint aNow)
 {
   const auto left = duration_cast<milliseconds>(aCall.timeLeft);
   HttpCall call;
@@ -58,12 +58,13 @@
   add("Request-Id", aCall.requestId);
   add("Attempt", std::to_string(aCall.attempt));
   add("Snapshot", std::to_string(aCall.snapshot));
-  add("Deadline-Ms", std::to_string(left.count()));
   add("Deadline-At", std::to_string((unixTime() + left).count()));
   add("Content-Type", "text/plain; charset=utf-8");
   add("Content-Length", std::to_string(aCall.body.size()));
   call.head += "\r\n";
   call.body = aCall.body;
+  call.deadlineHeader = "Deadline-Ms";
+  call.deadline = aNow + aCall.timeLeft;
   return call;
 }
 
@@ -142,7 +143,7 @@
           stop(aHandle, SubStatus::TimedOut, Errc::TimedOut);
         }
       });
-    running.ticket = pool->send(makeCall(running.call),
+    running.ticket = pool->send(makeCall(running.call, running.startedAt),
                                 [this, aHandle](ExchangeResult aResult) {
                                   onResult(aHandle, std::move(aResult));
                                 });
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -203,10 +203,8 @@
   ++aEntry->running;
   aEntry->cold.onSend(attempt->m_sentAt);
   attempt->m_ticket = aEntry->pool->send(
-    m_protocol.makeCall(aOrder.request,
-                        aOrder.terms,
-                        aEntry->server,
-                        aOrder.deadline - attempt->m_sentAt),
+    m_protocol.makeCall(
+      aOrder.request, aOrder.terms, aEntry->server, aOrder.deadline),
     [this, attempt, done = std::move(aDone)](ExchangeResult aResult) {
       attempt->m_running = false;
       --attempt->m_entry->running;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -69,6 +69,22 @@
   return asio::ip::tcp::endpoint(address, port);
 }
 
+std::string
+headAt(const HttpCall& aCall, TimePoint aNow)
+{
+  if (aCall.deadlineHeader.empty()) {
+    return aCall.head;
+  }
+  constexpr std::string_view kEnd = "\r\n";
+  const auto left =
+    std::chrono::duration_cast<milliseconds>(aCall.deadline - aNow).count();
+  std::string head = aCall.head.substr(0, aCall.head.size() - kEnd.size());
+  appendHeader(head,
+               aCall.deadlineHeader,
+               std::to_string(std::max<std::int64_t>(1, left)));
+  return head.append(kEnd);
+}
+
 /// A request and the connection that carries it.
 class HttpPool::Ticket final
   : public HttpTicketI
@@ -202,6 +218,7 @@
     beginResponse();
     m_skipped = 0;
     m_sending = m_ticket;
+    m_ticket->call.head = headAt(m_ticket->call, m_clock.now());
     const std::array<asio::const_buffer, 2> buffers{
       asio::buffer(m_ticket->call.head), asio::buffer(m_ticket->call.body)
     };
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -67,8 +67,16 @@
   bool isHead = false;
   std::string idHeader;
   std::string id;
+  /// Header that tells the milliseconds left until the deadline, none when
+  /// empty. A request may wait for a connection, so it is written last.
+  std::string deadlineHeader;
+  TimePoint deadline;
 };
 
+/// @returns the head of a request that is written now
+std::string
+headAt(const HttpCall& aCall, TimePoint aNow);
+
 class HttpPool;
 
 /// One request on its way; see HttpPool::send.
--- a/src/traffic_protocol_p.h
+++ b/src/traffic_protocol_p.h
@@ -39,11 +39,11 @@
 
   virtual CallerTerms readTerms(const HttpRequest& aRequest) const = 0;
   /// Builds the request to a server from a caller's.
-  /// @param[in] aTimeLeft after which the server need not answer
+  /// @param[in] aDeadline when the server need not answer any more
   virtual HttpCall makeCall(const HttpRequest& aRequest,
                             const CallerTerms& aTerms,
                             const BackendServer& aServer,
-                            Duration aTimeLeft) const = 0;
+                            TimePoint aDeadline) const = 0;
   virtual ServerAnswer readAnswer(const HttpResponse& aResponse) const = 0;
   /// Makes the answer to a caller from a server's response.
   virtual HttpResponse passOn(HttpResponse aResponse) const = 0;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -48,6 +48,7 @@
 
   tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
   int requests() const { return m_requests; }
+  const std::vector<std::string>& heads() const { return m_heads; }
   int accepted() const { return m_accepted; }
   int open() const { return m_open; }
 
@@ -85,6 +86,7 @@
           --m_open;
           return;
         }
+        m_heads.push_back(aConnection->buffer.substr(0, aSize));
         aConnection->buffer.erase(0, aSize);
         const Step step = m_script(m_requests++);
         boost::system::error_code ignored;
@@ -104,6 +106,7 @@
   }
 
   tcp::acceptor m_acceptor;
+  std::vector<std::string> m_heads;
   Script m_script;
   int m_requests = 0;
   int m_accepted = 0;
@@ -139,6 +142,7 @@
   CPPUNIT_TEST(keepsConnectionLimit);
   CPPUNIT_TEST(cancelClosesTheConnection);
   CPPUNIT_TEST(saysWhatWasNotSent);
+  CPPUNIT_TEST(tellsTheTimeLeftWhenItWrites);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -440,7 +444,40 @@
                    call(*makePool(server.endpoint())).end);
   }
 
+  // Guards against a request that waited for a connection and tells the server
+  // the time that was left before.
+  void tellsTheTimeLeftWhenItWrites()
+  {
+    RawServer server(m_context, [](int) { return RawServer::Step{}; });
+    auto pool = makePool(server.endpoint());
+    std::vector<HttpTicketPtr> tickets;
+    tickets.reserve(3);
+    for (int i = 0; i < 3; ++i) { // one more than there are connections
+      HttpCall made = makeCall();
+      made.deadlineHeader = "Deadline-Ms";
+      made.deadline = m_systemClock.now() + milliseconds(1000);
+      tickets.push_back(
+        pool->send(std::move(made), [](const ExchangeResult&) {}));
+    }
+    m_context.run_for(milliseconds(150));
+    m_context.restart();
+    tickets[0]->cancel();
+    run([&] { return server.requests() == 3; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), server.heads().size());
+    CPPUNIT_ASSERT(timeLeft(server.heads()[0]) > 900);
+    CPPUNIT_ASSERT(timeLeft(server.heads()[2]) > 500);
+    CPPUNIT_ASSERT(timeLeft(server.heads()[2]) <= 850);
+  }
+
 private:
+  static int timeLeft(const std::string& aHead)
+  {
+    const std::string name = "\r\nDeadline-Ms: ";
+    const auto at = aHead.find(name);
+    CPPUNIT_ASSERT_MESSAGE(aHead, at != std::string::npos);
+    return std::stoi(aHead.substr(at + name.size()));
+  }
+
   template<class Condition>
   void run(Condition aCondition)
   {
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -194,8 +194,10 @@
     server.id = "i-1";
     const CallerTerms terms = m_protocol.readTerms(request);
     CPPUNIT_ASSERT(*terms.deadline == milliseconds(1000));
-    const HttpCall call =
-      m_protocol.makeCall(request, terms, server, milliseconds(400));
+    const TimePoint now = ManualClock().now();
+    HttpCall call =
+      m_protocol.makeCall(request, terms, server, now + milliseconds(400));
+    call.head = headAt(call, now);
     CPPUNIT_ASSERT(call.head.find("POST /a//b?c=%2f&d HTTP/1.1\r\n") == 0);
     for (const char* line : { "\r\nRequest-Id: q1\r\n",
                               "\r\nDeadline-Ms: 400\r\n",
