A stop's 504 is logged as one; state that could be derived is gone

Cause: a request that a stop answered with 504 was logged and counted as "caller left" with status 0.

Change: handlers hear with which status the server answered in their place. A gathered query keeps no second flag for what its aim flag says; the names of member states and the search for a route's admission stand once; Lane is Worker; counters that nothing read are gone from the soak; two g++ warnings.

Test: tellsWhatAStoppingServerAnswered.

--- a/soak/world.py
+++ b/soak/world.py
@@ -52,7 +52,6 @@
         self.services = set()    # that it asks for
         self.is_probe = False
         self.is_final = False
-        self.connected = False
 
 
 class Ledger:
@@ -82,7 +81,6 @@
         self.down = False
         self.slow_s = 0.0
         self.oldest = 0          # revisions up to this one are forgotten
-        self.calls = 0
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, *self.address)
@@ -118,7 +116,6 @@
         try:
             while True:
                 message = await http1.read_message(reader)
-                self.calls += 1
                 while self.down:
                     await asyncio.sleep(0.05)
                 await asyncio.sleep(0.004 + self.slow_s)
@@ -307,19 +304,16 @@
         self.world = world
         self.nodes = nodes       # name -> address that callers connect to
         self.idle = {name: [] for name in nodes}
-        self.count = 0
 
     async def send(self, route, node, suffix, deadline_s, leave_s=None,
                    kept=True):
         """Sends one attempt and waits for its end."""
-        self.count += 1
         id_ = "%016x" % random.getrandbits(64)
         attempt = Attempt(id_, route, route.prefix + suffix, node, deadline_s)
         self.world.ledger.attempts[id_] = attempt
         reader, writer = None, None
         try:
             reader, writer = await self._connection(node, kept)
-            attempt.connected = True
             writer.write(http1.request(
                 route.method, attempt.target,
                 [("Host", HOST), ("Request-Id", id_),
--- a/src/backend_http.cpp
+++ b/src/backend_http.cpp
@@ -118,12 +118,12 @@
 
 /// The connections that one thread serves. All but the constructor and the
 /// destructor run on that thread.
-class BackendHttp::Lane
+class BackendHttp::Worker
 {
 public:
   asio::io_context& context() { return m_thread.context(); }
 
-  ~Lane() { m_thread.shutdown(); }
+  ~Worker() { m_thread.shutdown(); }
 
   void send(std::uint64_t aHandle, BackendCall aCall, Done aDone)
   {
@@ -228,7 +228,7 @@
 BackendHttp::BackendHttp(std::uint32_t aThreads)
 {
   for (std::uint32_t i = 0; i < std::max(1U, aThreads); ++i) {
-    m_lanes.push_back(std::make_unique<Lane>());
+    m_workers.push_back(std::make_unique<Worker>());
   }
 }
 
@@ -238,11 +238,11 @@
 BackendHttp::send(BackendCall aCall, Done aDone)
 {
   // The remainder of a handle names its thread.
-  const std::uint64_t lane =
+  const std::uint64_t index =
     XXH3_64bits(aCall.key.server.data(), aCall.key.server.size()) %
-    m_lanes.size();
-  const std::uint64_t handle = ++m_next * m_lanes.size() + lane;
-  Lane* const owner = m_lanes[lane].get();
+    m_workers.size();
+  const std::uint64_t handle = ++m_next * m_workers.size() + index;
+  Worker* const owner = m_workers[index].get();
   asio::post(owner->context(),
              [owner,
               handle,
@@ -256,7 +256,7 @@
 void
 BackendHttp::cancel(std::uint64_t aHandle)
 {
-  Lane* const owner = m_lanes[aHandle % m_lanes.size()].get();
+  Worker* const owner = m_workers[aHandle % m_workers.size()].get();
   asio::post(owner->context(), [owner, aHandle] {
     owner->stop(aHandle, SubStatus::Lost, Errc::Unreachable);
   });
--- a/src/backend_http_p.h
+++ b/src/backend_http_p.h
@@ -25,8 +25,8 @@
   void cancel(std::uint64_t aHandle) override;
 
 private:
-  class Lane;
-  std::vector<std::unique_ptr<Lane>> m_lanes;
+  class Worker;
+  std::vector<std::unique_ptr<Worker>> m_workers;
   std::atomic<std::uint64_t> m_next{ 0 };
 };
 
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -425,7 +425,6 @@
 std::shared_ptr<const ControlReport>
 EntryControl::report(const std::vector<Host>& aEntryHosts) const
 {
-  constexpr const char* kStates[] = { "alive", "suspect", "dead", "leaving" };
   const auto report = std::make_shared<ControlReport>();
   report->host = m_settings.host;
   report->dataCentre = m_settings.dataCentre;
@@ -436,15 +435,17 @@
   report->changedAt = m_itemsChanged;
   report->startedAt = m_started;
   for (const Host& host : m_roster.list().hosts) {
-    PeerStatus peer{ host.name, host.dataCentre };
-    peer.state =
-      host.name == m_settings.host
-        ? "self"
-        : kStates[static_cast<std::size_t>(m_membership.stateOf(host.name))];
+    const bool self = host.name == m_settings.host;
+    PeerStatus peer;
+    peer.host = host.name;
+    peer.dataCentre = host.dataCentre;
+    peer.state = self ? "self" : toString(m_membership.stateOf(host.name));
     const auto heard = m_peerRevisions.find(host.name);
-    peer.revision = host.name == m_settings.host     ? report->revision
-                    : heard != m_peerRevisions.end() ? heard->second
-                                                     : 0;
+    if (self) {
+      peer.revision = report->revision;
+    } else if (heard != m_peerRevisions.end()) {
+      peer.revision = heard->second;
+    }
     peer.entry = std::any_of(
       aEntryHosts.begin(), aEntryHosts.end(), [&host](const Host& aEntry) {
         return aEntry.name == host.name;
--- a/src/gather_query.cpp
+++ b/src/gather_query.cpp
@@ -42,13 +42,16 @@
 void
 GatherQuery::start()
 {
-  m_query.exchange->onAbandoned([weak = weak_from_this()] {
+  m_query.exchange->onAbandoned([weak = weak_from_this()](unsigned aStatus) {
     const auto self = weak.lock();
     if (self && !self->m_ended) {
       self->m_ended = true;
       self->cancelAll();
-      recordAnswer(
-        self->m_services, self->m_query, 0, "caller left", self->details());
+      recordAnswer(self->m_services,
+                   self->m_query,
+                   aStatus,
+                   abandonReason(aStatus),
+                   self->details());
     }
   });
   m_fanOut = std::make_shared<ShardFanOut>(
@@ -284,7 +287,7 @@
   }
   if (aimReached && !m_aimPassed) {
     m_aimPassed = true;
-    judge(isLoaded());
+    m_query.admission->onQuery(isLoaded());
   }
   wakeLater(now);
 }
@@ -350,20 +353,13 @@
          late ? "deadline passed" : "too few parts");
 }
 
-void
-GatherQuery::judge(bool aLate)
-{
-  if (!m_judged) {
-    m_judged = true;
-    m_query.admission->onQuery(aLate);
-  }
-}
-
 void
 GatherQuery::finish(HttpResponse aResponse, const char* aReason)
 {
   m_ended = true;
-  judge(false);
+  if (!m_aimPassed) {
+    m_query.admission->onQuery(false);
+  }
   const std::string parts = details();
   m_fanOut->learn();
   cancelAll();
--- a/src/gather_query_p.h
+++ b/src/gather_query_p.h
@@ -58,7 +58,6 @@
   void wakeLater(TimePoint aNow);
   void answer();
   void fail(TimePoint aNow);
-  void judge(bool aLate);
   void finish(HttpResponse aResponse, const char* aReason);
   std::string details() const;
   void cancelAll();
@@ -73,7 +72,6 @@
   std::size_t m_needed;
   std::size_t m_taken = 0;  ///< shards taken over from peers
   bool m_aimPassed = false; ///< too few parts were in at the aim
-  bool m_judged = false;    ///< the admission has heard of this query
   bool m_ended = false;
 };
 
--- a/src/gossip_wire_p.h
+++ b/src/gossip_wire_p.h
@@ -45,6 +45,9 @@
   Leaving = 3, ///< announced by the member itself
 };
 
+const char*
+toString(MemberState aState) noexcept;
+
 /// @returns a host's number in member updates, a hash of its name
 std::uint32_t
 memberId(const std::string& aHost);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -75,7 +75,7 @@
   const HttpRequest& request() const override { return m_request; }
   TimePoint receivedAt() const override { return m_receivedAt; }
   bool isFirst() const override { return m_count == 1; }
-  void onAbandoned(std::function<void()> aCall) override
+  void onAbandoned(Abandoned aCall) override
   {
     m_onAbandoned = std::move(aCall);
   }
@@ -123,7 +123,7 @@
       const auto abandoned = std::move(m_onAbandoned);
       reply(aResponse);
       if (abandoned) {
-        abandoned();
+        abandoned(aResponse.result_int());
       }
     }
   }
@@ -152,7 +152,7 @@
     if (running && m_onAbandoned) {
       const auto abandoned = std::move(m_onAbandoned);
       m_onAbandoned = nullptr;
-      abandoned();
+      abandoned(0);
     }
   }
 
@@ -308,7 +308,7 @@
   bool m_reading = false;
   bool m_close = false;
   bool m_confirmed = false; ///< 100 was sent
-  std::function<void()> m_onAbandoned;
+  Abandoned m_onAbandoned;
   std::string m_head;
   std::string m_body;
 };
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -47,8 +47,10 @@
   virtual TimePoint receivedAt() const = 0;
   /// @returns true for the first request of its connection
   virtual bool isFirst() const = 0;
-  /// Sets what to call when the caller leaves before the answer.
-  virtual void onAbandoned(std::function<void()> aCall) = 0;
+  /// Called when a request ends without reply(), with the status that the
+  /// server answered instead; 0 when the caller left.
+  using Abandoned = std::function<void(unsigned aStatus)>;
+  virtual void onAbandoned(Abandoned aCall) = 0;
   /// Answers; later calls do nothing.
   virtual void reply(HttpResponse aResponse) = 0;
 };
@@ -74,8 +76,7 @@
   void drain() { m_draining = true; }
   /// Closes connections without a request in flight.
   void closeIdle();
-  /// Answers every request that has no answer yet. Their handlers hear that
-  /// the caller has left.
+  /// Answers every request that has no answer yet in place of its handler.
   void answerRunning(const HttpResponse& aResponse);
   /// Stops accepting new connections.
   void stopAccepting();
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -376,11 +376,10 @@
   if (!logEnabled(LogLevel::Info)) {
     return;
   }
-  constexpr const char* kNames[] = { "alive", "suspect", "dead", "leaving" };
   logWrite(LogLevel::Info,
            LogLine(aEvent)
              .add("peer", aMember.host.name)
-             .add("state", kNames[static_cast<std::size_t>(aMember.state)])
+             .add("state", toString(aMember.state))
              .add("incarnation", aMember.incarnation)
              .add("refutation", aMember.refutation));
 }
--- a/src/membership_message.cpp
+++ b/src/membership_message.cpp
@@ -17,6 +17,13 @@
 
 } // namespace
 
+const char*
+toString(MemberState aState) noexcept
+{
+  constexpr const char* kNames[] = { "alive", "suspect", "dead", "leaving" };
+  return kNames[static_cast<std::size_t>(aState)];
+}
+
 Gossip
 Membership::makeMessage(GossipKind aKind,
                         std::uint32_t aSequence,
--- a/src/query_context_p.h
+++ b/src/query_context_p.h
@@ -58,6 +58,14 @@
              const char* aReason,
              const std::string& aDetails);
 
+/// @returns why a query ended without an answer of its own
+/// @param[in] aStatus of the answer that the server gave, 0 for none
+inline const char*
+abandonReason(unsigned aStatus)
+{
+  return aStatus == 0 ? "caller left" : "host stops";
+}
+
 /// Time after which a refused caller should come back: long enough for a short
 /// overload to pass, short enough to leave it time for the second try.
 constexpr std::chrono::milliseconds kRetryAfter{ 200 };
--- a/src/single_query.cpp
+++ b/src/single_query.cpp
@@ -23,12 +23,13 @@
 void
 SingleQuery::start()
 {
-  m_query.exchange->onAbandoned([weak = weak_from_this()] {
+  m_query.exchange->onAbandoned([weak = weak_from_this()](unsigned aStatus) {
     const auto self = weak.lock();
     if (self && !self->m_ended) {
       self->m_ended = true;
       self->cancelAll();
-      recordAnswer(self->m_services, self->m_query, 0, "caller left", "");
+      recordAnswer(
+        self->m_services, self->m_query, aStatus, abandonReason(aStatus), "");
     }
   });
   m_services.dispatcher.onRequest(m_service);
--- a/src/status.cpp
+++ b/src/status.cpp
@@ -74,7 +74,6 @@
 writeControl(JsonWriter& aOut, const ControlStatus& aStatus)
 {
   constexpr const char* kRoles[] = { "none", "first", "second", "starting" };
-  constexpr const char* kStates[] = { "alive", "suspect", "dead", "leaving" };
   aOut.beginObject("control");
   aOut.flag("ready", aStatus.ready);
   aOut.text("reader", kRoles[static_cast<std::size_t>(aStatus.role)]);
@@ -86,7 +85,7 @@
   }
   aOut.beginObject("members");
   for (const auto& [host, state] : aStatus.members) {
-    aOut.text(host, kStates[static_cast<std::size_t>(state)]);
+    aOut.text(host, toString(state));
   }
   aOut.endObject();
   aOut.endObject();
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -116,7 +116,10 @@
   }
   report.version = m_view.routing->version();
   for (const Route& route : m_view.routing->routes()) {
-    RouteStatus status{ route.name, route.host, route.prefix };
+    RouteStatus status;
+    status.name = route.name;
+    status.host = route.host;
+    status.prefix = route.prefix;
     status.shards = route.shards.size();
     for (const std::string& shard : route.shards) {
       status.lacking += m_servers.usable(shard).empty() ? 1 : 0;
@@ -124,11 +127,8 @@
     for (const auto& target : route.targets) {
       status.lacking += m_servers.usable(target.service).empty() ? 1 : 0;
     }
-    const auto admission = route.isGather()
-                             ? m_admissions.find(route.shards.front())
-                             : m_admissions.end();
-    if (admission != m_admissions.end()) {
-      status.admission = std::min(1.0, admission->second->level());
+    if (const auto admission = findAdmission(route)) {
+      status.admission = std::min(1.0, admission->level());
     }
     report.routes.push_back(std::move(status));
   }
@@ -235,16 +235,22 @@
   m_routes = std::move(kept);
   std::map<std::string, std::shared_ptr<Admission>> admissions;
   for (const Route& route : m_view.routing->routes()) {
-    const auto found = route.isGather()
-                         ? m_admissions.find(route.shards.front())
-                         : m_admissions.end();
-    if (found != m_admissions.end()) {
-      admissions.insert(*found);
+    if (const auto admission = findAdmission(route)) {
+      admissions.emplace(route.shards.front(), admission);
     }
   }
   m_admissions = std::move(admissions);
 }
 
+std::shared_ptr<Admission>
+Traffic::findAdmission(const Route& aRoute) const
+{
+  const auto found = aRoute.isGather()
+                       ? m_admissions.find(aRoute.shards.front())
+                       : m_admissions.end();
+  return found == m_admissions.end() ? nullptr : found->second;
+}
+
 const std::shared_ptr<Admission>&
 Traffic::admissionOf(const Route& aRoute)
 {
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -102,6 +102,8 @@
   TrafficReport report() const;
   void onPage(const HttpExchangePtr& aExchange);
   RouteState& stateOf(const Route& aRoute);
+  /// @returns null when no query of the route's shards has come yet
+  std::shared_ptr<Admission> findAdmission(const Route& aRoute) const;
   const std::shared_ptr<Admission>& admissionOf(const Route& aRoute);
   void forgetRoutes();
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -131,6 +131,7 @@
   CPPUNIT_TEST(boundsHeadersAndBodies);
   CPPUNIT_TEST(servesPipelinedRequestsInOrder);
   CPPUNIT_TEST(tellsThatTheCallerLeft);
+  CPPUNIT_TEST(tellsWhatAStoppingServerAnswered);
   CPPUNIT_TEST(endsSlowRequestsAndKeepsIdleOnes);
   CPPUNIT_TEST(drainEndsConnectionsAfterTheAnswer);
   CPPUNIT_TEST(reusesConnections);
@@ -250,7 +251,8 @@
       tcp::socket caller = connect();
       send(caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
       run([this] { return m_held.size() == 1; });
-      m_held[0]->onAbandoned([&left] { left = true; });
+      m_held[0]->onAbandoned(
+        [&left](unsigned aStatus) { left = aStatus == 0; });
     }
     run([&left] { return left; });
     CPPUNIT_ASSERT(left);
@@ -259,6 +261,25 @@
     m_held.clear();
   }
 
+  // Guards against a log that says a caller left which got an answer, and
+  // against a request that counts as ended before its answer is written.
+  void tellsWhatAStoppingServerAnswered()
+  {
+    startServer();
+    m_hold = true;
+    unsigned status = 0;
+    tcp::socket caller = connect();
+    send(caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    run([this] { return m_held.size() == 1; });
+    m_held[0]->onAbandoned([&status](unsigned aStatus) { status = aStatus; });
+    m_server->answerRunning(makeResponse(504, "stops\n"));
+    CPPUNIT_ASSERT_EQUAL(504U, status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_server->running());
+    run([this] { return m_server->running() == 0; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_server->running());
+    m_held.clear();
+  }
+
   // Guards against callers that hold connections with half a request.
   void endsSlowRequestsAndKeepsIdleOnes()
   {
