Answers without end: bound lines, interim responses and unfinished bodies

Cause: Beast's parser bounds the header and the body, but neither a chunk's size line nor the trailer, which stay in the connection's buffer; interim responses were not counted; and each connection may hold a body of 4 MB, so that a few servers which send without end fill a host's memory (160 MB on the smallest). Change: the buffer is bounded like the header, 8 interim responses a request, and all unfinished bodies from backend servers together take 24 MB at most.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -29,6 +29,8 @@
 /// Responses to other requests that are skipped before a connection is closed.
 /// A faulty server sends one surplus response at a time.
 constexpr unsigned kMaxSkippedResponses = 2;
+/// Informational responses (1xx) to one request; servers send one or two.
+constexpr unsigned kMaxInformationalResponses = 8;
 
 /// @returns the timeout in the Keep-Alive header, or nothing
 std::optional<milliseconds>
@@ -157,6 +159,7 @@
     m_closed = true;
     boost::system::error_code ignored;
     m_socket.close(ignored);
+    countBuffered(0);
     m_timer.cancel();
     const auto pendingCall = std::move(m_pendingCall);
     m_pendingCall = nullptr;
@@ -220,6 +223,7 @@
   {
     resetParser();
     m_skippedResponses = 0;
+    m_informationalResponses = 0;
     m_writtenCall = m_pendingCall;
     m_pendingCall->call.head =
       headWithDeadline(m_pendingCall->call, m_clock.now());
@@ -309,6 +313,24 @@
     close(ExchangeEnd::Broken, "connection closed");
   }
 
+  /// Counts the body received so far against the budget of all connections.
+  /// @returns false when the budget is exceeded
+  bool countBuffered(std::size_t aBytes)
+  {
+    if (!m_settings.bodyBudget) {
+      return true;
+    }
+    if (aBytes > m_bufferedBytes) {
+      if (!m_settings.bodyBudget->tryTake(aBytes - m_bufferedBytes)) {
+        return false;
+      }
+    } else {
+      m_settings.bodyBudget->giveBack(m_bufferedBytes - aBytes);
+    }
+    m_bufferedBytes = aBytes;
+    return true;
+  }
+
   /// @returns false when the connection has ended
   bool parse()
   {
@@ -316,7 +338,17 @@
       boost::system::error_code error;
       const std::size_t used = m_parser->put(m_buffer.data(), error);
       m_buffer.consume(used);
+      if (!countBuffered(m_parser->get().body().size())) {
+        close(ExchangeEnd::Malformed, "unfinished bodies exceed the limit");
+        return false;
+      }
       if (error == http::error::need_more) {
+        // The parser bounds the header, but neither a chunk's size line nor the
+        // trailer, which both stay in the buffer until they are complete.
+        if (m_buffer.size() > m_settings.headerBytes) {
+          close(ExchangeEnd::Malformed, "line without end");
+          return false;
+        }
         return true;
       }
       if (error) {
@@ -337,7 +369,12 @@
   bool finishResponse()
   {
     HttpResponse response = m_parser->release();
+    countBuffered(0);
     if (response.result_int() / 100 == 1) {
+      if (++m_informationalResponses > kMaxInformationalResponses) {
+        close(ExchangeEnd::Malformed, "informational responses without end");
+        return false;
+      }
       resetParser();
       return true;
     }
@@ -403,6 +440,8 @@
   TimePoint m_idleSince;
   std::uint64_t m_responseCount = 0;
   unsigned m_skippedResponses = 0;
+  unsigned m_informationalResponses = 0;
+  std::size_t m_bufferedBytes = 0; ///< of the body, taken from the budget
   bool m_open = false;
   bool m_closed = false;
   bool m_writing = false;
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "buffer_budget_p.h"
 #include "clock_p.h"
 #include "http_message_p.h"
 
@@ -57,6 +58,8 @@
   std::chrono::milliseconds idleTime{ 20'000 };
   std::size_t headerBytes = 16384;
   std::size_t bodyBytes = 4194304;
+  /// Limits the bodies that all connections are receiving; null: no limit.
+  std::shared_ptr<BufferBudget> bodyBudget;
 };
 
 /// A request to send. If `idHeader` is set, it names a response header. A
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -12,6 +12,18 @@
 constexpr double kSharedConnectionsRatio = 0.9;
 /// One for a request and one for a hedge.
 constexpr std::size_t kMinConnections = 2;
+/// Limit of all unfinished bodies together, well below the memory of the
+/// smallest host: a faulty server may send a body without end. It holds some
+/// thousand ordinary parts.
+constexpr std::size_t kUnfinishedBodyBytes = 24 << 20;
+
+HttpClientSettings
+makeClientSettings()
+{
+  HttpClientSettings settings;
+  settings.bodyBudget = std::make_shared<BufferBudget>(kUnfinishedBodyBytes);
+  return settings;
+}
 
 /// @returns false when the server has restarted or moved in between
 bool
@@ -29,6 +41,7 @@
   : m_context(aContext)
   , m_clock(aClock)
   , m_dataCentre(std::move(aDataCentre))
+  , m_clientSettings(makeClientSettings())
 {
 }
 
@@ -85,7 +98,7 @@
         m_context,
         m_clock,
         boost::asio::ip::tcp::endpoint(address, published.port),
-        HttpClientSettings());
+        m_clientSettings);
     }
     const ServiceContract* contract = aRouting.service(published.service);
     entry->pool->setConnections(connectionShare(aRouting, published.service));
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -76,6 +76,7 @@
   boost::asio::io_context& m_context;
   const ClockI& m_clock;
   const std::string m_dataCentre;
+  const HttpClientSettings m_clientSettings;
   std::size_t m_sharingHosts = 0;
   std::map<std::string, ServerEntryPtr> m_servers;             ///< by id
   std::map<std::string, std::vector<ServerEntryPtr>> m_usable; ///< by service
