Answer once enough parts are in; reserve the time that an answer takes; less work a part

Changes: the time reserved for answering follows the recent delay of answers (up to 15% of the target); the answer is written before attempts are cancelled; from the target on, enough parts are an answer; the fan-out keeps its parts in a vector, counts pending ones and sets its timer only for an earlier time; shards with a local server need no list of data centres; shards that a lost relay had and that are already queried aren't queried again. The schedule's completeBy is gone, so server_health_test checks giveUpAt in its place.

--- a/src/answer_timing_p.h
+++ b/src/answer_timing_p.h
@@ -2,10 +2,12 @@
 #define TOUCANRIDGE_ANSWER_TIMING_P_H
 
 /// When a query is answered with the parts received so far, and when a slow
-/// request is hedged.
+/// request is hedged. Answers the load of many shards of which a few are slow,
+/// paused or gone at any time.
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 #include "clock_p.h"
@@ -19,9 +21,6 @@
 {
   /// From here on, the query is answered as soon as enough parts are received.
   TimePoint targetAt;
-  /// Once targetAt has passed without enough parts, the query waits for all
-  /// parts until here.
-  TimePoint completeBy;
   /// The final answer is sent here, whichever parts are received.
   TimePoint giveUpAt;
 
@@ -43,6 +42,9 @@
                          Duration aDeadline,
                          bool aFirstOnConnection);
 
+  /// Records how long after its planned time a query was answered: the time for
+  /// which the timer was late, and that for merging and writing.
+  void onAnswerDelay(Duration aDelay);
   /// Records the latency of a good answer, or the time that an attempt had
   /// taken when it was cancelled.
   void onLatency(Duration aLatency);
@@ -55,12 +57,42 @@
   LatencyTracker m_hedgeLatency;
   double m_typicalSeconds = 0.0;   ///< moving average, 0 while unknown
   Duration m_longestDeadline{ 0 }; ///< of the requests so far
+  /// Recent maximum of the answers' delay, which falls slowly.
+  Duration m_answerDelay{ 0 };
 };
 
 /// @returns the number of parts that a successful answer needs at least
 std::size_t
 partsNeeded(const Route& aRoute);
 
+/// The parts of a query at one moment.
+struct PartCounts
+{
+  std::size_t received = 0;
+  std::size_t needed = 0; ///< for a successful answer
+  std::size_t total = 0;  ///< shards of the route
+  bool mayArrive = true;  ///< more parts may still be received
+};
+
+enum class AnswerStep : std::uint8_t
+{
+  Wait,   ///< for more parts
+  Answer, ///< with the parts received
+  Fail,   ///< too few parts
+};
+
+/// Decides whether a query is answered now.
+AnswerStep
+decideAnswer(const PartCounts& aParts,
+             const QuerySchedule& aSchedule,
+             TimePoint aNow);
+
+/// @param[in] aMedian median latency of the query's parts received so far, zero
+///            while too few are
+/// @returns time after an attempt at which its part is hedged
+Duration
+partHedgeDelay(const Route& aRoute, Duration aMedian);
+
 } // namespace toucanridge
 
 #endif // TOUCANRIDGE_ANSWER_TIMING_P_H
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -167,6 +167,18 @@
   return centres;
 }
 
+bool
+Dispatcher::isLocal(const std::string& aService) const
+{
+  const TimePoint now = m_clock.now();
+  const auto& servers = m_servers.usable(aService);
+  return std::any_of(
+    servers.begin(), servers.end(), [&](const ServerEntryPtr& aEntry) {
+      return m_servers.isInSameDataCentre(aEntry->server) &&
+             !aEntry->replaced && !aEntry->health.isAvoided(now);
+    });
+}
+
 AttemptPtr
 Dispatcher::send(const AttemptParams& aParams,
                  const std::string& aService,
--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -148,6 +148,8 @@
   /// @returns data centres with a server of the service that may get new work
   ///          and isn't known to be unreachable or replaced
   std::set<std::string> dataCentresOf(const std::string& aService) const;
+  /// @returns true when this host's data centre is among dataCentresOf()
+  bool isLocal(const std::string& aService) const;
   /// @param[in] aSharingHosts number of hosts that share the budgets equally, 0
   ///            when this host has no share
   void setSharingHosts(std::size_t aSharingHosts);
--- a/src/gather_query.cpp
+++ b/src/gather_query.cpp
@@ -73,7 +73,10 @@
   std::vector<std::set<std::string>> centres;
   centres.reserve(shards.size());
   for (const std::string& shard : shards) {
-    centres.push_back(m_deps.dispatcher.dataCentresOf(shard));
+    // The other data centres don't matter for a shard that is queried directly.
+    centres.push_back(m_deps.dispatcher.isLocal(shard)
+                        ? std::set<std::string>{ m_deps.dataCentre }
+                        : m_deps.dispatcher.dataCentresOf(shard));
   }
   const RelayPlan plan = planRelays(centres,
                                     m_deps.dataCentre,
@@ -180,8 +183,10 @@
 {
   std::vector<std::size_t> missing;
   for (const std::size_t shard : aRelay.asked) {
-    if (std::find(aRelay.received.begin(), aRelay.received.end(), shard) ==
-        aRelay.received.end()) {
+    const bool received =
+      std::find(aRelay.received.begin(), aRelay.received.end(), shard) !=
+      aRelay.received.end();
+    if (!received && !m_fanOut->isAsked(shard)) {
       missing.push_back(shard);
     }
   }
@@ -208,13 +213,15 @@
 std::vector<std::size_t>
 GatherQuery::receivedDirectly() const
 {
-  std::set<std::size_t> relayed;
+  std::vector<bool> relayed(m_query.route->shards.size());
   for (const auto& entry : m_relays) {
-    relayed.insert(entry.second.received.begin(), entry.second.received.end());
+    for (const std::size_t shard : entry.second.received) {
+      relayed[shard] = true;
+    }
   }
   std::vector<std::size_t> direct;
-  for (std::size_t i = 0; i < m_query.route->shards.size(); ++i) {
-    if (m_fanOut->isReceived(i) && relayed.count(i) == 0) {
+  for (std::size_t i = 0; i < relayed.size(); ++i) {
+    if (m_fanOut->isReceived(i) && !relayed[i]) {
       direct.push_back(i);
     }
   }
@@ -276,27 +283,20 @@
   }
   const TimePoint now = m_deps.clock.now();
   checkRelays(now);
-  const QuerySchedule& schedule = m_query.schedule;
-  const std::size_t received = countReceived();
-  const bool enough = received >= m_partsNeeded;
-  if (received == m_query.route->shards.size() || !isWaiting() ||
-      now >= schedule.giveUpAt) {
-    if (enough) {
+  const PartCounts parts{
+    countReceived(), m_partsNeeded, m_query.route->shards.size(), isWaiting()
+  };
+  switch (decideAnswer(parts, m_query.schedule, now)) {
+    case AnswerStep::Answer:
       answer();
-    } else {
+      return;
+    case AnswerStep::Fail:
       fail(now);
-    }
-    return;
-  }
-  // At the target, enough parts in time are better than all parts late. Once
-  // the target is missed, it is better to wait a little for all parts.
-  const bool targetReached = now >= schedule.targetAt;
-  if (enough && targetReached &&
-      (!m_targetMissed || now >= schedule.completeBy)) {
-    answer();
-    return;
+      return;
+    case AnswerStep::Wait:
+      break;
   }
-  if (targetReached && !m_targetMissed) {
+  if (now >= m_query.schedule.targetAt && !m_targetMissed) {
     m_targetMissed = true;
     m_query.admission->onQuery(isOverloaded());
   }
@@ -308,8 +308,7 @@
 {
   const QuerySchedule& schedule = m_query.schedule;
   TimePoint next = schedule.giveUpAt;
-  for (const TimePoint time :
-       { schedule.targetAt, schedule.completeBy, m_relayAckDeadline }) {
+  for (const TimePoint time : { schedule.targetAt, m_relayAckDeadline }) {
     if (aNow < time) {
       next = std::min(next, time);
     }
@@ -372,12 +371,15 @@
   if (!m_targetMissed) {
     m_query.admission->onQuery(false);
   }
-  const std::string parts = details();
-  m_fanOut->recordLatencies();
-  cancelAll();
   const unsigned status = aResponse.result_int();
   m_query.exchange->reply(std::move(aResponse));
-  recordAnswer(m_deps, m_query, status, aReason, parts);
+  const TimePoint now = m_deps.clock.now();
+  if (now >= m_query.schedule.targetAt && !m_targetMissed) {
+    m_query.timing->onAnswerDelay(now - m_query.schedule.targetAt);
+  }
+  recordAnswer(m_deps, m_query, status, aReason, details());
+  m_fanOut->recordLatencies();
+  cancelAll();
 }
 
 /// @returns counts for the log line of the answer, and the missing shards
--- a/src/shard_fan_out.cpp
+++ b/src/shard_fan_out.cpp
@@ -12,24 +12,8 @@
 constexpr milliseconds kRetryDelay{ 30 };
 /// Most attempts for one part, including those that no server ran.
 constexpr std::uint32_t kMaxAttempts = 6;
-/// A part is hedged when it takes this many times as long as the median of the
-/// query's parts. The comparison is within the query because an expensive query
-/// is slow on all servers, and hedging all its parts would only add load.
-constexpr double kHedgeFactor = 1.7;
-/// Added to the scaled median, in the hedge delay.
-constexpr milliseconds kHedgeMargin{ 3 };
 /// Share of the parts that must be received before their median is used.
 constexpr double kMinReceivedShare = 0.25;
-/// With fewer parts received, a part is hedged after this share of the target
-/// latency.
-constexpr double kDefaultHedgeShare = 0.5;
-
-Duration
-scaled(Duration aTime, double aFactor)
-{
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(aTime) * aFactor);
-}
 
 } // namespace
 
@@ -40,6 +24,7 @@
   , m_params(aParams)
   , m_onChange(std::move(aOnChange))
   , m_timer(aDeps.context)
+  , m_parts(aParams.route.shards.size())
 {
 }
 
@@ -50,6 +35,11 @@
 {
   for (const std::size_t shard : aShards) {
     Part& part = m_parts[shard];
+    if (!part.asked) {
+      part.asked = true;
+      m_asked.push_back(shard);
+      ++m_pending;
+    }
     part.kind = aKind;
     part.scope = aScope;
     if (aKind == AttemptKind::First) {
@@ -63,23 +53,19 @@
 bool
 ShardFanOut::isReceived(std::size_t aShard) const
 {
-  const auto found = m_parts.find(aShard);
-  return found != m_parts.end() && found->second.received;
+  return m_parts[aShard].received;
 }
 
 bool
 ShardFanOut::isPending(std::size_t aShard) const
 {
-  const auto found = m_parts.find(aShard);
-  return found != m_parts.end() && found->second.isPending();
+  return m_parts[aShard].isPending();
 }
 
 bool
 ShardFanOut::isDone() const
 {
-  return std::none_of(m_parts.begin(), m_parts.end(), [](const auto& aEntry) {
-    return aEntry.second.isPending();
-  });
+  return m_pending == 0;
 }
 
 std::string_view
@@ -98,11 +84,8 @@
 ShardFanOut::trace(std::size_t aShard) const
 {
   std::string text = m_params.route.shards[aShard];
-  const auto found = m_parts.find(aShard);
-  if (found != m_parts.end()) {
-    for (const std::string& server : found->second.tried) {
-      text += "/" + server;
-    }
+  for (const std::string& server : m_parts[aShard].tried) {
+    text += "/" + server;
   }
   return text;
 }
@@ -182,6 +165,7 @@
 ShardFanOut::acceptPart(Part& aPart, AttemptPtr aWinner, AttemptResult aResult)
 {
   aPart.received = true;
+  --m_pending;
   aPart.body = std::move(aResult.response.body());
   aPart.signature = std::move(aResult.answer.signature);
   aPart.winner = std::move(aWinner);
@@ -198,23 +182,13 @@
 ShardFanOut::medianLatency() const
 {
   const double minReceived =
-    kMinReceivedShare * static_cast<double>(m_parts.size());
+    kMinReceivedShare * static_cast<double>(m_asked.size());
   return m_latencies.empty() ||
              static_cast<double>(m_latencies.size()) < minReceived
            ? Duration(0)
            : m_latencies[m_latencies.size() / 2];
 }
 
-/// @returns time after an attempt at which a part is hedged
-Duration
-ShardFanOut::hedgeDelay() const
-{
-  const Duration median = medianLatency();
-  return median > Duration(0)
-           ? scaled(median, kHedgeFactor) + Duration(kHedgeMargin)
-           : scaled(m_params.route.targetLatency, kDefaultHedgeShare);
-}
-
 void
 ShardFanOut::recordLatencies()
 {
@@ -222,8 +196,8 @@
   if (median <= Duration(0)) {
     return;
   }
-  for (const auto& entry : m_parts) {
-    const Part& part = entry.second;
+  for (const std::size_t shard : m_asked) {
+    const Part& part = m_parts[shard];
     if (part.received) {
       part.winner->recordLatency(
         static_cast<double>(part.winner->latency().count()) /
@@ -244,6 +218,7 @@
   }
   if (!mayAttempt(aPart)) {
     aPart.gaveUp = true;
+    --m_pending;
     return;
   }
   // Every server was tried, or the budget is spent. A server that didn't run
@@ -255,9 +230,10 @@
 ShardFanOut::onTimer()
 {
   const TimePoint now = m_deps.clock.now();
-  const Duration delay = hedgeDelay();
+  const Duration delay = partHedgeDelay(m_params.route, medianLatency());
   bool anyGaveUp = false;
-  for (auto& [shard, part] : m_parts) {
+  for (const std::size_t shard : m_asked) {
+    Part& part = m_parts[shard];
     if (!part.isPending()) {
       continue;
     }
@@ -280,10 +256,10 @@
 void
 ShardFanOut::scheduleTimer()
 {
-  const Duration delay = hedgeDelay();
+  const Duration delay = partHedgeDelay(m_params.route, medianLatency());
   TimePoint next = TimePoint::max();
-  for (const auto& entry : m_parts) {
-    const Part& part = entry.second;
+  for (const std::size_t shard : m_asked) {
+    const Part& part = m_parts[shard];
     if (!part.isPending()) {
       continue;
     }
@@ -293,7 +269,9 @@
       next = std::min(next, part.sentAt + delay);
     }
   }
-  if (m_ended || m_timerAt == next || next == TimePoint::max()) {
+  // The hedge delay changes with each part. A timer that expires too early
+  // costs less than setting it anew each time.
+  if (m_ended || m_timerAt <= next) {
     return;
   }
   m_timerAt = next;
@@ -302,7 +280,7 @@
   m_timer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aError) {
       if (!aError && !self->m_ended) {
-        self->m_timerAt = TimePoint();
+        self->m_timerAt = TimePoint::max();
         self->onTimer();
       }
     });
@@ -316,11 +294,13 @@
   }
   m_ended = true;
   m_timer.cancel();
-  for (auto& entry : m_parts) {
-    for (const AttemptPtr& attempt : entry.second.attempts) {
-      attempt->cancel(medianLatency());
+  const Duration typical = medianLatency();
+  for (const std::size_t shard : m_asked) {
+    std::vector<AttemptPtr>& attempts = m_parts[shard].attempts;
+    for (const AttemptPtr& attempt : attempts) {
+      attempt->cancel(typical);
     }
-    entry.second.attempts.clear();
+    attempts.clear();
   }
 }
 
--- a/src/shard_fan_out_p.h
+++ b/src/shard_fan_out_p.h
@@ -7,7 +7,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -43,6 +42,8 @@
 
   /// @returns the number of parts received
   std::size_t receivedCount() const { return m_latencies.size(); }
+  /// @returns true when the shard was queried
+  bool isAsked(std::size_t aShard) const { return m_parts[aShard].asked; }
   /// @returns true when the shard's part is received
   bool isReceived(std::size_t aShard) const;
   /// @returns true when the shard was queried and its part may still arrive
@@ -61,7 +62,7 @@
   ///          few
   Duration medianLatency() const;
   /// @returns the number of shards queried
-  std::size_t askedCount() const { return m_parts.size(); }
+  std::size_t askedCount() const { return m_asked.size(); }
   std::size_t hedges() const { return m_hedges; }
   std::size_t retries() const { return m_retries; }
 
@@ -69,6 +70,7 @@
   /// The state of one shard's part.
   struct Part
   {
+    bool asked = false;
     std::vector<AttemptPtr> attempts;      ///< running
     std::vector<std::string> tried;        ///< ids of servers
     AttemptKind kind = AttemptKind::First; ///< of the next attempt
@@ -83,7 +85,7 @@
     std::string body;
     std::string signature;
 
-    bool isPending() const { return !received && !gaveUp; }
+    bool isPending() const { return asked && !received && !gaveUp; }
   };
 
   bool mayAttempt(const Part& aPart) const;
@@ -93,15 +95,17 @@
   void retry(std::size_t aShard, Part& aPart);
   void onTimer();
   void scheduleTimer();
-  Duration hedgeDelay() const;
 
   QueryDependencies m_deps;
   AttemptParams m_params;
   std::function<void()> m_onChange;
   boost::asio::steady_timer m_timer;
-  TimePoint m_timerAt;                 ///< when the timer expires
-  std::map<std::size_t, Part> m_parts; ///< by shard
-  std::vector<Duration> m_latencies;   ///< of the parts received, sorted
+  /// When the timer expires; it may expire before an attempt is due.
+  TimePoint m_timerAt = TimePoint::max();
+  std::vector<Part> m_parts;         ///< by shard
+  std::vector<std::size_t> m_asked;  ///< shards queried
+  std::size_t m_pending = 0;         ///< parts that may still arrive
+  std::vector<Duration> m_latencies; ///< of the parts received, sorted
   std::size_t m_hedges = 0;
   std::size_t m_retries = 0;
   bool m_anyMayHaveRun = false;
