Log lines bear the time at which they are made

Cause: log4cplus stamps a line when the writer's batch is written, up to 50 ms later, so lines of two hosts could not be ordered. Change: the line is stamped when it is queued. Test: log_test; failed before the change, passes now. The tests share one log4cplus initialization, so both end with logStopWriter().

--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,6 +1,7 @@
 #include "log_p.h"
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <iomanip>
 #include <iostream>
@@ -14,6 +15,7 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 
 namespace toucanridge {
 namespace {
@@ -25,6 +27,7 @@
 {
   LogLevel level;
   std::string text;
+  std::chrono::system_clock::time_point time; ///< of the decision it tells of
 };
 
 log4cplus::LogLevel
@@ -99,6 +102,26 @@
   }
 
 private:
+  /// Keeps the time at which the line was made; Logger::log() would use the
+  /// time of writing.
+  void write(const QueuedLine& aLine)
+  {
+    const log4cplus::spi::InternalLoggingEvent event(
+      m_logger.getName(),
+      toLog4cplus(aLine.level),
+      {},
+      {},
+      aLine.text,
+      {},
+      {},
+      std::chrono::time_point_cast<log4cplus::helpers::Time::duration>(
+        aLine.time),
+      {},
+      0,
+      {});
+    m_logger.callAppenders(event);
+  }
+
   void run()
   {
     std::unique_lock<std::mutex> lock(m_mutex);
@@ -111,7 +134,7 @@
       batch.swap(m_queue);
       lock.unlock();
       for (const QueuedLine& line : batch) {
-        m_logger.log(toLog4cplus(line.level), line.text);
+        write(line);
       }
       // The appender doesn't flush the stream; lines in its buffer are lost
       // when the process is killed.
@@ -176,7 +199,8 @@
   if (!logEnabled(aLevel)) {
     return;
   }
-  if (!gLogWriter->push({ aLevel, aLine.str() })) {
+  if (!gLogWriter->push(
+        { aLevel, aLine.str(), std::chrono::system_clock::now() })) {
     ++gDropped;
   }
 }
