A fleet that starts reads the platform sooner

Change: without a configuration a host ticks every 25 ms, repeats introductions every 50 ms while it knows no host, and reads after 75 ms; with its first view it opens connections to the servers of its data centre at once. Test: roster_test findsSeedsThatStartLater, failed before.

--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickInterval{ 100 };
+/// Tick interval of a host that has no configuration yet.
+constexpr milliseconds kStartingTickInterval{ 25 };
 /// Callers cache a directory answer for this long. A shorter time removes a
 /// lost host from use sooner, but each answer costs a connection.
 constexpr milliseconds kAddressValidity{ 2000 };
@@ -21,7 +23,7 @@
 constexpr milliseconds kPublishInterval{ 1000 };
 /// A starting host discovers peers for this long before it may read the
 /// platform: in most cases the running fleet already has all items.
-constexpr milliseconds kPeerDiscoveryTime{ 200 };
+constexpr milliseconds kPeerDiscoveryTime{ 75 };
 /// Within this time a starting host has found the fleet and fetched its
 /// configuration.
 constexpr milliseconds kStartupTime{ 2000 };
@@ -198,11 +200,11 @@
 void
 EntryControl::runPeriodicTasks()
 {
-  updateReaderRole();
   m_roster.tick();
   if (m_roster.takeChanged()) {
     m_membership.setHosts(m_roster.list());
   }
+  updateReaderRole();
   m_membership.tick();
   m_catalogueKeeper.tick();
   const bool due = m_clock.now() >= m_nextPublishAt;
@@ -210,7 +212,7 @@
       m_membership.takeChanged() || due) {
     publish();
   }
-  m_timer.expires_after(kTickInterval);
+  m_timer.expires_after(m_routing ? kTickInterval : kStartingTickInterval);
   m_timer.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
       runPeriodicTasks();
--- a/src/roster.cpp
+++ b/src/roster.cpp
@@ -13,6 +13,8 @@
 /// A starting host sends introductions often, so that it can route traffic
 /// soon, and continues while it discovers hosts that it didn't know.
 constexpr milliseconds kStartingInterval{ 150 };
+/// Interval while no other host is known: the seeds may be starting as well.
+constexpr milliseconds kAloneInterval{ 50 };
 constexpr std::chrono::seconds kStartingPeriod{ 3 };
 constexpr milliseconds kSteadyInterval{ 3000 };
 /// One introduction in this many goes to a seed, the others to known hosts.
@@ -116,7 +118,9 @@
     return;
   }
   const bool starting = now - m_lastDiscovery < kStartingPeriod;
-  m_nextIntroduction = now + (starting ? kStartingInterval : kSteadyInterval);
+  m_nextIntroduction = now + (!starting         ? kSteadyInterval
+                              : m_hosts.empty() ? kAloneInterval
+                                                : kStartingInterval);
   if (m_introductionCount == 0) {
     ++m_introductionCount;
     for (const PeerAddress& seed : m_seeds) {
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -206,6 +206,7 @@
 Traffic::setView(const TrafficView& aView)
 {
   const bool routingChanged = aView.routing != m_view.routing;
+  const bool isFirstView = !m_view.routing && aView.routing;
   m_view = aView;
   // The entry hosts divide the limits among them; a standby host has no share.
   const std::size_t sharingHosts = aView.isEntry ? aView.entryHostCount : 0;
@@ -217,6 +218,9 @@
   }
   if (m_view.catalogue) {
     m_servers.update(*m_view.catalogue, *m_view.routing);
+    if (isFirstView) {
+      m_servers.openConnections();
+    }
   }
   if (routingChanged) {
     m_server.setLimits(m_view.routing->limits());
--- a/tests/roster_test.cpp
+++ b/tests/roster_test.cpp
@@ -120,6 +120,7 @@
   CPPUNIT_TEST_SUITE(RosterTest);
   CPPUNIT_TEST(findsEveryHost);
   CPPUNIT_TEST(newHostFindsExistingFleet);
+  CPPUNIT_TEST(findsSeedsThatStartLater);
   CPPUNIT_TEST(forgetsStoppedHosts);
   CPPUNIT_TEST(survivesMalformedDatagrams);
   CPPUNIT_TEST_SUITE_END();
@@ -151,6 +152,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(21), fleet.leastKnown());
   }
 
+  // Guards against a host that starts a moment before its seeds, as when a
+  // whole fleet restarts, and reads the platform because it knows no peer: the
+  // introduction must be repeated within 75 ms (kPeerDiscoveryTime).
+  void findsSeedsThatStartLater()
+  {
+    Fleet fleet(6, 1, 0.0);
+    fleet.dead = { 0, 1, 2 };
+    fleet.run(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.known(5));
+    fleet.dead.clear();
+    fleet.run(milliseconds(50));
+    CPPUNIT_ASSERT(fleet.known(5) > 1);
+  }
+
   // Guards against stopped hosts that stay in the rosters because hosts keep
   // forwarding old entries about them.
   void forgetsStoppedHosts()
