--- /dev/null
+++ b/tests/platform_store_test.cpp
@@ -0,0 +1,89 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <stdexcept>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "platform_fakes.h"
+#include "platform_settings.h"
+#include "platform_store.h"
+#include "run_handlers_p.h"
+
+using namespace toucanridge;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr const char* kStore = "127.63.10.1";
+constexpr std::uint16_t kStorePort = 8102;
+
+/// Throws at the first items that it gets.
+class FailingListener : public PublishedListenerI
+{
+public:
+  void onItems(const ItemChanges& aChanges) override
+  {
+    if (++m_calls == 1) {
+      throw std::runtime_error("unexpected item");
+    }
+    m_revision = aChanges.to;
+  }
+
+  int calls() const { return m_calls; }
+  std::uint64_t revision() const { return m_revision; }
+
+private:
+  int m_calls = 0;
+  std::uint64_t m_revision = 0;
+};
+
+} // namespace
+
+class PlatformStoreTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PlatformStoreTest);
+  CPPUNIT_TEST(readsOnAfterAnUnexpectedError);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a host that goes on serving but never reads the platform
+  // again, because the handling of one item threw.
+  void readsOnAfterAnUnexpectedError()
+  {
+    IoThread thread;
+    FakeStore store(thread, kStore, kStorePort);
+    store.put("op/config", "first");
+    platform::Settings settings;
+    settings.storeAddress = kStore;
+    settings.storePort = kStorePort;
+    SystemClock clock;
+    boost::asio::io_context context;
+    platform::StoreClient client(context, clock, settings);
+    FailingListener listener;
+    client.start(listener);
+    boost::asio::steady_timer tick(context);
+    const auto limit = steady_clock::now() + std::chrono::seconds(5);
+    bool changed = false;
+    const std::function<void()> onTick = [&] {
+      client.setReading(true);
+      if (!changed && listener.calls() > 0) {
+        changed = true;
+        store.put("op/config", "second");
+      }
+      if (listener.revision() == 0 && steady_clock::now() < limit) {
+        tick.expires_after(milliseconds(100));
+        tick.async_wait([&](auto) { onTick(); });
+      } else {
+        client.stop();
+        context.stop();
+      }
+    };
+    onTick();
+    runHandlers(context, "test");
+    CPPUNIT_ASSERT(listener.revision() > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformStoreTest);
