--- a/tests/decision_load_test.cpp
+++ b/tests/decision_load_test.cpp
@@ -40,21 +40,9 @@
     sum.first += one.first;
     sum.extra += one.extra;
     sum.credit += one.credit;
-    sum.coverage += one.coverage;
     sum.latenciesMs.insert(
       sum.latenciesMs.end(), one.latenciesMs.begin(), one.latenciesMs.end());
   }
-  std::printf("asked %zu in target %zu late %zu failed %zu refused %zu credit "
-              "%.3f p50 %.0f p99 %.0f extra %.3f\n",
-              sum.asked,
-              sum.inTarget,
-              sum.late,
-              sum.failed,
-              sum.refused,
-              sum.meanCredit(),
-              sum.percentileMs(0.5),
-              sum.percentileMs(0.99),
-              static_cast<double>(sum.extra) / static_cast<double>(sum.first));
   return sum;
 }
 
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -73,12 +73,14 @@
   std::size_t refused = 0; ///< also at the retry
   std::size_t first = 0;   ///< first attempts at servers
   std::size_t extra = 0;   ///< hedges
-  double coverage = 0.0;   ///< sum over the answers in target
   std::vector<double> latenciesMs;
 
-  /// @returns mean over the requests of the squared coverage in target
-  double credit = 0.0;
+  double credit = 0.0; ///< sum of the squared coverage of answers in target
+
+  /// @returns credit of a request
   double meanCredit() const { return credit / static_cast<double>(asked); }
+  /// @param[in] aShare of the answers, 0 to 1
+  /// @returns their longest latency in milliseconds
   double percentileMs(double aShare) const
   {
     std::vector<double> sorted(latenciesMs);
@@ -504,7 +506,6 @@
     const double coverage = static_cast<double>(query.latencies.size()) /
                             static_cast<double>(query.parts.size());
     ++m_outcome.inTarget;
-    m_outcome.coverage += coverage;
     m_outcome.credit += coverage * coverage;
   }
 
