A late second copy without a length ends its attempt at once

Cause: a second copy of an earlier answer that has no length was read until the server closed the connection; the next request got nothing until its deadline. Change: its header shows the other request's id, and the connection is closed.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -342,6 +342,12 @@
         close(ExchangeEnd::Malformed, "unfinished bodies exceed the limit");
         return false;
       }
+      // Without a length it would last until the server closes the connection.
+      if (m_parser->is_header_done() && m_parser->need_eof() &&
+          isForAnotherRequest(m_parser->get().base())) {
+        close(ExchangeEnd::Malformed, "response to another request");
+        return false;
+      }
       if (error == http::error::need_more) {
         // The parser bounds the header, but neither a chunk's size line nor the
         // trailer, which both stay in the buffer until they are complete.
@@ -365,6 +371,16 @@
     return !m_closed;
   }
 
+  bool isForAnotherRequest(const HttpFields& aFields) const
+  {
+    const HttpCall& call = m_pendingCall->call;
+    if (call.idHeader.empty()) {
+      return false;
+    }
+    const std::string_view id = headerValue(aFields, call.idHeader);
+    return !id.empty() && id != call.id;
+  }
+
   /// @returns false when the connection has ended
   bool finishResponse()
   {
@@ -378,19 +394,15 @@
       resetParser();
       return true;
     }
-    const HttpCall& call = m_pendingCall->call;
-    if (!call.idHeader.empty()) {
-      const std::string_view id = headerValue(response.base(), call.idHeader);
-      if (!id.empty() && id != call.id) {
-        m_closeAfterResponse = true;
-        if (++m_skippedResponses > kMaxSkippedResponses ||
-            !response.keep_alive()) {
-          close(ExchangeEnd::Malformed, "response to another request");
-          return false;
-        }
-        resetParser();
-        return true;
+    if (isForAnotherRequest(response.base())) {
+      m_closeAfterResponse = true;
+      if (++m_skippedResponses > kMaxSkippedResponses ||
+          !response.keep_alive()) {
+        close(ExchangeEnd::Malformed, "response to another request");
+        return false;
       }
+      resetParser();
+      return true;
     }
     m_closeAfterResponse |=
       !response.keep_alive() || m_writing || m_buffer.size() > 0;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -136,6 +136,7 @@
   CPPUNIT_TEST(drainEndsConnectionsAfterTheAnswer);
   CPPUNIT_TEST(reusesConnections);
   CPPUNIT_TEST(skipsResponsesToOtherRequests);
+  CPPUNIT_TEST(skipsLateSecondCopies);
   CPPUNIT_TEST(dropsConnectionWithSurplusBytes);
   CPPUNIT_TEST(rejectsTruncatedResponse);
   CPPUNIT_TEST(acceptsResponseEndedByClose);
@@ -370,6 +371,38 @@
                    call(*makePool(stray.endpoint())).end);
   }
 
+  // Guards against a second copy of an answer that arrives, in any framing,
+  // once the connection has the next request: the next caller would get it.
+  void skipsLateSecondCopies()
+  {
+    const std::string copies[] = {
+      response("first", "no"),
+      "HTTP/1.1 200 OK\r\nRequest-Id: first\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+      "HTTP/1.1 103 Early Hints\r\n\r\n" + response("first", "no"),
+      "HTTP/1.1 204 No Content\r\nRequest-Id: first\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nRequest-Id: first\r\n\r\nno", // to end of stream
+    };
+    for (const std::string& copy : copies) {
+      RawServer server(m_context, [&copy](int aRequest) {
+        return RawServer::Step{ aRequest == 0 ? response("first", "ok")
+                                              : copy + response("q", "yes") };
+      });
+      auto pool = makePool(server.endpoint());
+      HttpCall first = makeCall();
+      first.id = "first";
+      CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                           call(*pool, first).response.body());
+      const ExchangeResult next = call(*pool);
+      CPPUNIT_ASSERT_EQUAL(1, server.accepted());
+      if (next.end == ExchangeEnd::Answered) {
+        CPPUNIT_ASSERT_EQUAL(std::string("yes"), next.response.body());
+      } else {
+        CPPUNIT_ASSERT(copy == copies[4]); // its end can't be told
+      }
+    }
+  }
+
   // Guards against a surplus response that is taken for the response to the
   // next request on that connection.
   void dropsConnectionWithSurplusBytes()
@@ -617,10 +650,10 @@
     return made;
   }
 
-  ExchangeResult call(HttpPool& aPool)
+  ExchangeResult call(HttpPool& aPool, const HttpCall& aCall = makeCall())
   {
     std::optional<ExchangeResult> result;
-    aPool.send(makeCall(), [&result](ExchangeResult aResult) {
+    aPool.send(aCall, [&result](ExchangeResult aResult) {
       result = std::move(aResult);
     });
     run([&result] { return result.has_value(); });
