Scenario runner: keep the answers of a failed run

Cause: a renamed function was still called by its old name, so a failed scenario ended with an AttributeError and its logs' path was not printed.

--- a/scripts/scenario.py
+++ b/scripts/scenario.py
@@ -690,7 +690,7 @@
                                       sorted(outcomes.items())))
         if failures or "--keep" in sys.argv:
             with open(os.path.join(folder, "answers.json"), "w") as out:
-                json.dump(self.answers([]), out, indent=1)
+                json.dump(self.select_answers([]), out, indent=1)
             print("  logs kept in", folder)
         else:
             shutil.rmtree(folder)
