--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -486,7 +486,7 @@
   : m_context(aContext)
   , m_clock(aClock)
   , m_endpoint(std::move(aEndpoint))
-  , m_settings(aSettings)
+  , m_settings(std::move(aSettings))
 {
 }
 
--- a/tests/endless_answer_test.cpp
+++ b/tests/endless_answer_test.cpp
@@ -161,7 +161,7 @@
       servers.emplace_back("HTTP/1.1 200 OK\r\n\r\n", filler, 1);
       pools.push_back(makePool(servers.back(), budget));
       calls.push_back(
-        pools.back()->send(makeCall(), [&ended](ExchangeResult aResult) {
+        pools.back()->send(makeCall(), [&ended](const ExchangeResult& aResult) {
           ended += aResult.end == ExchangeEnd::Malformed ? 1 : 0;
         }));
     }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -377,8 +377,8 @@
   {
     const std::string copies[] = {
       response("first", "no"),
-      "HTTP/1.1 200 OK\r\nRequest-Id: first\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+      std::string("HTTP/1.1 200 OK\r\nRequest-Id: first\r\n") +
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
       "HTTP/1.1 103 Early Hints\r\n\r\n" + response("first", "no"),
       "HTTP/1.1 204 No Content\r\nRequest-Id: first\r\n\r\n",
       "HTTP/1.1 200 OK\r\nRequest-Id: first\r\n\r\nno", // to end of stream
