Log and report the request limit that a server states

The adapter reads the limit, the dispatcher logs its changes with the attempts sent under it; the metrics and the status page show it.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -12,6 +12,8 @@
 /// Most failed attempts logged in a second: a server that is down fails every
 /// attempt. The metrics still count failures that aren't logged.
 constexpr std::uint32_t kMaxFailureLinesPerSecond = 40;
+/// Most changes of servers' stated limits logged in a second.
+constexpr std::uint32_t kMaxLimitLinesPerSecond = 20;
 
 /// @returns the first aMaxServers servers: those of the scope's data centre
 ///          before the others, each group in the order of a hash of the id.
@@ -94,6 +96,7 @@
   , m_budgetLimit(aBudget)
   , m_started(aClock.now())
   , m_failureLogLimit(aClock, kMaxFailureLinesPerSecond)
+  , m_limitLogLimit(aClock, kMaxLimitLinesPerSecond)
 {
 }
 
@@ -204,12 +207,13 @@
     ++m_counters.denied;
     return nullptr;
   }
-  return sendTo(aParams, entry, std::move(aDone));
+  return sendTo(aParams, entry, aKind, std::move(aDone));
 }
 
 AttemptPtr
 Dispatcher::sendTo(const AttemptParams& aParams,
                    const ServerEntryPtr& aEntry,
+                   AttemptKind aKind,
                    Done aDone)
 {
   auto attempt = std::make_shared<Attempt>();
@@ -221,6 +225,7 @@
   attempt->m_running = true;
   ++aEntry->running;
   aEntry->coldLimit.onSend(attempt->m_sentAt);
+  aEntry->statedLimit.onSend(aKind == AttemptKind::Extra);
   attempt->m_pendingCall = aEntry->pool->send(
     m_protocol.makeCall(
       aParams.request, aParams.callerHeaders, aEntry->server, aParams.deadline),
@@ -254,6 +259,31 @@
   logWrite(LogLevel::Info, line);
 }
 
+/// Takes over the request limit that an answer states and logs its changes,
+/// with the requests that this host sent under the previous limit.
+void
+Dispatcher::recordLimit(ServerEntry& aEntry, const ServerAnswer& aAnswer)
+{
+  if (!aEntry.statedLimit.onAnswer(aAnswer.requestsPerSecond, aAnswer.good)) {
+    return;
+  }
+  const StatedLimit::Sends sends = aEntry.statedLimit.takeSends();
+  if (!m_limitLogLimit.allows()) {
+    return;
+  }
+  LogLine line("server-limit");
+  line.add("server", aEntry.server.id).add("service", aEntry.server.service);
+  if (aAnswer.requestsPerSecond) {
+    line.add("per_s", *aAnswer.requestsPerSecond);
+  } else {
+    line.add("per_s", "none");
+  }
+  line.add("sent_first", sends.first)
+    .add("sent_extra", sends.extra)
+    .add("suppressed", m_limitLogLimit.takeSuppressed());
+  logWrite(LogLevel::Info, line);
+}
+
 /// Classifies the result of an exchange, updates the server's health, and
 /// counts and logs the result.
 AttemptResult
@@ -280,6 +310,9 @@
       entry.health.onResponse();
       result.answer = m_protocol.readAnswer(aResult.response);
       result.response = std::move(aResult.response);
+      if (!result.answer.otherServer) {
+        recordLimit(entry, result.answer);
+      }
       if (result.answer.good) {
         result.end = AttemptEnd::Good;
         aAttempt.m_timing->onLatency(aAttempt.m_latency);
--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -162,7 +162,9 @@
                         const std::vector<std::string>& aTried);
   AttemptPtr sendTo(const AttemptParams& aParams,
                     const ServerEntryPtr& aEntry,
+                    AttemptKind aKind,
                     Done aDone);
+  void recordLimit(ServerEntry& aEntry, const ServerAnswer& aAnswer);
   void logFailure(const Attempt& aAttempt, const AttemptResult& aResult);
   AttemptResult recordResult(Attempt& aAttempt, ExchangeResult aResult);
   SharedBudget& budget(const std::string& aService);
@@ -177,6 +179,7 @@
   std::map<std::string, SharedBudget> m_budgets; ///< by service
   DispatcherCounters m_counters;
   LogRateLimiter m_failureLogLimit;
+  LogRateLimiter m_limitLogLimit;
 };
 
 } // namespace toucanridge
--- a/src/entry_status.cpp
+++ b/src/entry_status.cpp
@@ -51,6 +51,9 @@
   aOut.text("data_centre", aServer.dataCentre);
   aOut.text("state", aServer.state);
   aOut.flag("cold", aServer.cold);
+  if (aServer.limit) {
+    aOut.number("limit", *aServer.limit);
+  }
   aOut.number("slowness", aServer.slowness);
   aOut.number("failures", aServer.failures);
   aOut.number("running", aServer.running);
--- a/src/entry_status_p.h
+++ b/src/entry_status_p.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,9 @@
   std::string dataCentre;
   std::string state; ///< ready, draining, evacuated, replaced or avoided
   bool cold = false;
+  /// Requests a second that the server accepts from all hosts together; nothing
+  /// when it states no limit.
+  std::optional<double> limit;
   double slowness = 1.0;     ///< latency relative to other servers
   double failures = 0.0;     ///< share of requests that fail
   std::uint32_t running = 0; ///< attempts at this server
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -139,6 +139,7 @@
                    : entry->health.isAvoided(now)             ? "avoided"
                                                               : "ready";
     status.cold = entry->coldLimit.isCold(now);
+    status.limit = entry->statedLimit.perSecond();
     status.slowness = entry->health.slowness(now);
     status.failures = entry->health.failures(now);
     status.running = entry->running;
@@ -172,6 +173,15 @@
   return found == m_usable.end() ? m_noServers : found->second;
 }
 
+std::size_t
+ServerTable::limitedServers() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_servers.begin(), m_servers.end(), [](const auto& aEntry) {
+      return aEntry.second->statedLimit.perSecond().has_value();
+    }));
+}
+
 std::uint64_t
 ServerTable::connectionsOpened() const
 {
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -20,6 +20,7 @@
 #include "http_client_p.h"
 #include "routing_p.h"
 #include "server_health_p.h"
+#include "stated_limit_p.h"
 
 namespace toucanridge {
 
@@ -30,6 +31,7 @@
   std::shared_ptr<HttpPool> pool;
   ServerHealth health;
   ColdLimit coldLimit;
+  StatedLimit statedLimit;
   std::uint32_t running = 0; ///< this host's running attempts at the server
   bool replaced = false;     ///< another server answers at its address
 };
@@ -68,6 +70,8 @@
   std::vector<ServerStatus> status() const;
   /// @returns connections opened to servers since the start
   std::uint64_t connectionsOpened() const;
+  /// @returns number of servers that state a request limit
+  std::size_t limitedServers() const;
 
 private:
   std::size_t connectionShare(const RoutingTable& aRouting,
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -162,6 +162,9 @@
   setGauge("toucanridge_server_connections_opened",
            "connections opened to servers",
            m_servers.connectionsOpened());
+  setGauge("toucanridge_limited_servers",
+           "servers that state a request limit",
+           m_servers.limitedServers());
   setGauge("toucanridge_malformed",
            "callers' requests that could not be read",
            m_server.malformed());
--- a/src/traffic_protocol_p.h
+++ b/src/traffic_protocol_p.h
@@ -31,6 +31,9 @@
   bool notRun = false;      ///< the server states that it ran nothing
   bool otherServer = false; ///< the address belongs to another server now
   std::string signature;    ///< passed on to callers, who verify it
+  /// Requests a second that the server accepts from all hosts together; nothing
+  /// when the answer states no limit.
+  std::optional<double> requestsPerSecond;
 };
 
 class TrafficProtocolI
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(refusesMalformedServerEntries);
   CPPUNIT_TEST(passesRequestsOnUnchanged);
   CPPUNIT_TEST(classifiesServerResponses);
+  CPPUNIT_TEST(readsRequestLimit);
   CPPUNIT_TEST(neverPassesConnectionHeadersOn);
   CPPUNIT_TEST_SUITE_END();
 
@@ -237,6 +238,22 @@
     CPPUNIT_ASSERT(m_protocol.readAnswer(response).otherServer);
   }
 
+  // Guards against a server's request limit that isn't read, and against a
+  // malformed one that is read as a number.
+  void readsRequestLimit()
+  {
+    HttpResponse response = makeResponse(200, "x");
+    CPPUNIT_ASSERT(!m_protocol.readAnswer(response).requestsPerSecond);
+    response.set("Server-Limit", "23.6");
+    CPPUNIT_ASSERT_EQUAL(23.6,
+                         *m_protocol.readAnswer(response).requestsPerSecond);
+    for (const char* malformed : { "", "-1", "nan", "inf", "5 a second" }) {
+      response.set("Server-Limit", malformed);
+      CPPUNIT_ASSERT_MESSAGE(
+        malformed, !m_protocol.readAnswer(response).requestsPerSecond);
+    }
+  }
+
   // Guards against passing on headers of the connection to the server, which
   // would describe the caller's connection or the body's length wrongly.
   void neverPassesConnectionHeadersOn()
