--- a/src/entry_status.cpp
+++ b/src/entry_status.cpp
@@ -163,6 +163,7 @@
               "data_centre",
               "state",
               "cold",
+              "limit",
               "slowness",
               "failures",
               "running",
--- a/tests/platform_fakes.h
+++ b/tests/platform_fakes.h
@@ -4,6 +4,7 @@
 /// Fakes of the platform for tests: its store and its backend servers, which
 /// listen on real sockets and run on one thread.
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <future>
@@ -242,10 +243,27 @@
   std::atomic<Mode> mode{ Mode::Serving };
   std::atomic<int> delayMs{ 0 };
   std::atomic<int> ran{ 0 }; ///< requests
+  /// Requests a second that the answers state as the server's limit; 0: none.
+  std::atomic<double> limit{ 0.0 };
+
+  /// @returns the most requests in a window of that length since a time
+  std::size_t mostIn(std::chrono::milliseconds aWindow, TimePoint aSince) const
+  {
+    const std::vector<TimePoint> times =
+      m_thread.sync([this] { return m_arrivals; });
+    std::size_t most = 0;
+    for (auto last = times.begin(); last != times.end(); ++last) {
+      const auto first = std::upper_bound(
+        times.begin(), last, std::max(aSince, *last - aWindow));
+      most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+    }
+    return most;
+  }
 
 private:
   void serve(const HttpExchangePtr& aExchange)
   {
+    m_arrivals.push_back(m_clock.now());
     const auto& fields = aExchange->request().base();
     if (headerValue(fields, "Target-Instance") != id) {
       aExchange->reply(makeResponse(421, ""));
@@ -278,6 +296,9 @@
       makeResponse(mode == Mode::Failing ? 500 : 200, body);
     response.set("Request-Id", request);
     response.set("Server-Stamp", id + "." + request);
+    if (limit > 0.0) {
+      response.set("Server-Limit", std::to_string(limit));
+    }
     aExchange->reply(std::move(response));
   }
 
@@ -285,6 +306,7 @@
   SystemClock m_clock;
   HttpServer m_server;
   std::vector<HttpExchangePtr> m_held;
+  std::vector<TimePoint> m_arrivals; ///< of requests
 };
 
 } // namespace toucanridge
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(shutdownCutsNoRequest);
   CPPUNIT_TEST(stopAnswersWhatStillRuns);
   CPPUNIT_TEST(refusesWhileShardsAreOverloaded);
+  CPPUNIT_TEST(hostsTogetherKeepToAServersLimit);
   CPPUNIT_TEST(servesMetricsAndStatus);
   CPPUNIT_TEST(programStopsOnSignals);
   CPPUNIT_TEST_SUITE_END();
@@ -401,6 +402,35 @@
     CPPUNIT_ASSERT(refused < 60);
   }
 
+  // Guards against hosts that together send a server more than 1.5 times the
+  // request rate that its answers state, and 5, in 4 s, and against answers
+  // that lack the server's shard although its replica has capacity.
+  void hostsTogetherKeepToAServersLimit()
+  {
+    constexpr double kLimit = 4.0;
+    constexpr milliseconds kWindow{ 4000 };
+    start(2);
+    FakeServer& limited = *m_servers[0];
+    limited.limit = kLimit;
+    for (int i = 0; i < 10; ++i) {
+      query(i % 2, "/all/x"); // both hosts get an answer with the limit
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+    const TimePoint told = m_clock.now();
+    int whole = 0;
+    int sent = 0;
+    while (m_clock.now() < told + kWindow + milliseconds(1000)) {
+      whole += countStamps(query(++sent % 2, "/all/x").response) == kShards;
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent > 100);
+    const std::size_t most = limited.mostIn(kWindow, told);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(most),
+                           static_cast<double>(most) <=
+                             1.5 * 4.0 * kLimit + 5.0);
+    CPPUNIT_ASSERT_EQUAL(sent, whole);
+  }
+
   // Guards against metrics and status pages that aren't served, and against a
   // status that shows a draining server as ready.
   void servesMetricsAndStatus()
