Hosts together keep to the request limit that a server states

Cause: no code read the limit, so every host went on sending its share of the load.

Change: each host keeps to a share of the limit, a token bucket that is asked when a server is chosen; a request without a token goes to a replica. Hosts compute the shares from the entry hosts that they know, without messages: those in the server's data centre get 8 times the share of the others, since relays send most requests through them, and with a low limit only as many hosts have a share as may each hold one saved request. An answer without the limit ends it.

Why it holds: shares of hosts with the same view add up to the rate; saved tokens stay within what the rule grants beyond it; a starting host divides by 12; a standby or leaving host has no share.

Measured: hostsTogetherKeepToAServersLimit failed before (301 requests in 4 s, 29 allowed), passes now.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -133,7 +133,8 @@
     const ServerEntry& entry = *aServers[i];
     const bool tried =
       std::find(aTried.begin(), aTried.end(), entry.server.id) != aTried.end();
-    if (tried || entry.replaced || !entry.coldLimit.allows(now)) {
+    if (tried || entry.replaced || !entry.coldLimit.allows(now) ||
+        !entry.statedLimit.allows(now)) {
       continue;
     }
     ServerOption option;
@@ -225,7 +226,7 @@
   attempt->m_running = true;
   ++aEntry->running;
   aEntry->coldLimit.onSend(attempt->m_sentAt);
-  aEntry->statedLimit.onSend(aKind == AttemptKind::Extra);
+  aEntry->statedLimit.onSend(attempt->m_sentAt, aKind == AttemptKind::Extra);
   attempt->m_pendingCall = aEntry->pool->send(
     m_protocol.makeCall(
       aParams.request, aParams.callerHeaders, aEntry->server, aParams.deadline),
@@ -264,9 +265,11 @@
 void
 Dispatcher::recordLimit(ServerEntry& aEntry, const ServerAnswer& aAnswer)
 {
-  if (!aEntry.statedLimit.onAnswer(aAnswer.requestsPerSecond, aAnswer.good)) {
+  if (!aEntry.statedLimit.onAnswer(
+        m_clock.now(), aAnswer.requestsPerSecond, aAnswer.good)) {
     return;
   }
+  m_servers.divideStatedLimit(aEntry);
   const StatedLimit::Sends sends = aEntry.statedLimit.takeSends();
   if (!m_limitLogLimit.allows()) {
     return;
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -37,9 +37,11 @@
 
 ServerTable::ServerTable(boost::asio::io_context& aContext,
                          const ClockI& aClock,
+                         std::string aHost,
                          std::string aDataCentre)
   : m_context(aContext)
   , m_clock(aClock)
+  , m_host(std::move(aHost))
   , m_dataCentre(std::move(aDataCentre))
   , m_clientSettings(makeClientSettings())
 {
@@ -49,7 +51,7 @@
 ServerTable::connectionShare(const RoutingTable& aRouting,
                              const std::string& aService) const
 {
-  if (m_sharingHosts == 0) {
+  if (m_sharingHosts.count == 0) {
     return kMinConnections;
   }
   const ServiceContract* contract = aRouting.service(aService);
@@ -59,7 +61,21 @@
   return std::max(
     kMinConnections,
     static_cast<std::size_t>(maxConnections * kSharedConnectionsRatio /
-                             static_cast<double>(m_sharingHosts)));
+                             static_cast<double>(m_sharingHosts.count)));
+}
+
+void
+ServerTable::divideStatedLimit(ServerEntry& aEntry) const
+{
+  const TimePoint now = m_clock.now();
+  const auto limit = aEntry.statedLimit.perSecond(now);
+  if (limit) {
+    aEntry.statedLimit.setShare(
+      now,
+      rateShare({ aEntry.server.id, aEntry.server.dataCentre, *limit },
+                m_sharingHosts,
+                m_host));
+  }
 }
 
 void
@@ -104,7 +120,8 @@
     entry->pool->setConnections(connectionShare(aRouting, published.service));
     entry->coldLimit.setRate(
       contract != nullptr ? contract->coldRequestsPerSecond : 0.0,
-      std::max<std::size_t>(1, m_sharingHosts));
+      std::max<std::size_t>(1, m_sharingHosts.count));
+    divideStatedLimit(*entry);
     if (!published.draining &&
         aCatalogue.evacuated.count(published.dataCentre) == 0) {
       m_usable[published.service].push_back(entry);
@@ -139,7 +156,7 @@
                    : entry->health.isAvoided(now)             ? "avoided"
                                                               : "ready";
     status.cold = entry->coldLimit.isCold(now);
-    status.limit = entry->statedLimit.perSecond();
+    status.limit = entry->statedLimit.perSecond(now);
     status.slowness = entry->health.slowness(now);
     status.failures = entry->health.failures(now);
     status.running = entry->running;
@@ -153,7 +170,7 @@
 void
 ServerTable::openConnections()
 {
-  if (m_sharingHosts == 0) {
+  if (m_sharingHosts.count == 0) {
     return;
   }
   const TimePoint now = m_clock.now();
@@ -176,9 +193,10 @@
 std::size_t
 ServerTable::limitedServers() const
 {
-  return static_cast<std::size_t>(
-    std::count_if(m_servers.begin(), m_servers.end(), [](const auto& aEntry) {
-      return aEntry.second->statedLimit.perSecond().has_value();
+  const TimePoint now = m_clock.now();
+  return static_cast<std::size_t>(std::count_if(
+    m_servers.begin(), m_servers.end(), [now](const auto& aEntry) {
+      return aEntry.second->statedLimit.perSecond(now).has_value();
     }));
 }
 
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +19,7 @@
 #include "cold_limit_p.h"
 #include "entry_status_p.h"
 #include "http_client_p.h"
+#include "rate_share_p.h"
 #include "routing_p.h"
 #include "server_health_p.h"
 #include "stated_limit_p.h"
@@ -42,18 +44,21 @@
 public:
   ServerTable(boost::asio::io_context& aContext,
               const ClockI& aClock,
+              std::string aHost,
               std::string aDataCentre);
 
   /// Replaces the servers by the published ones. A server that is still the
   /// same instance keeps its connections and health.
   void update(const ServerCatalogue& aCatalogue, const RoutingTable& aRouting);
   /// Connections and limits are divided anew with the next update().
-  /// @param[in] aSharingHosts number of hosts that share the servers'
-  ///            connections and limits equally, 0 when this host has no share
-  void setSharingHosts(std::size_t aSharingHosts)
+  /// @param[in] aSharingHosts the hosts that share the servers' connections and
+  ///            limits
+  void setSharingHosts(SharingHosts aSharingHosts)
   {
-    m_sharingHosts = aSharingHosts;
+    m_sharingHosts = std::move(aSharingHosts);
   }
+  /// Sets this host's share of the limit that a server states.
+  void divideStatedLimit(ServerEntry& aEntry) const;
 
   /// Opens a connection to each server in this host's data centre that has
   /// none, unless this host has no share. To be repeated, as servers close idle
@@ -79,9 +84,10 @@
 
   boost::asio::io_context& m_context;
   const ClockI& m_clock;
+  const std::string m_host;
   const std::string m_dataCentre;
   const HttpClientSettings m_clientSettings;
-  std::size_t m_sharingHosts = 0;
+  SharingHosts m_sharingHosts;
   std::map<std::string, ServerEntryPtr> m_servers;             ///< by id
   std::map<std::string, std::vector<ServerEntryPtr>> m_usable; ///< by service
   std::set<std::string> m_evacuated; ///< data centres that get no new work
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -27,7 +27,7 @@
   : m_clock(aClock)
   , m_protocol(aProtocol)
   , m_settings(aSettings)
-  , m_servers(aContext, aClock, aSettings.dataCentre)
+  , m_servers(aContext, aClock, aSettings.host, aSettings.dataCentre)
   , m_dispatcher(aClock, aSettings.seed, aProtocol, m_servers, aSettings.budget)
   , m_links(aContext, Hello{ aSettings.host, aSettings.seed })
   , m_relayClient(aClock, m_links, aSettings.host, aSettings.seed << 16U)
@@ -212,9 +212,16 @@
   const bool isFirstView = !m_view.routing && aView.routing;
   m_view = aView;
   // The entry hosts divide the limits among them; a standby host has no share.
-  const std::size_t sharingHosts = aView.isEntry ? aView.entryHostCount : 0;
-  m_servers.setSharingHosts(sharingHosts);
-  m_dispatcher.setSharingHosts(sharingHosts);
+  SharingHosts sharing;
+  if (aView.isEntry) {
+    sharing.count = aView.entryHostCount;
+    sharing.known.push_back({ m_settings.host, m_settings.dataCentre });
+    for (const Host& peer : aView.peers) {
+      sharing.known.push_back({ peer.name, peer.dataCentre });
+    }
+  }
+  m_dispatcher.setSharingHosts(sharing.count);
+  m_servers.setSharingHosts(std::move(sharing));
   m_relayClient.setPeers(aView.peers);
   if (!m_view.routing) {
     return;
