A cold server gets requests while its entry changes

Callers: a cold server with a stated rate got no request until it was warm, so its replicas took all the load. Cause: each change of the published entry emptied the token bucket; a host with a share below two requests a second never had a token between two heartbeats. The bucket is now emptied only when the server turns cold. coldServerGetsRequestsWhileItsEntryChanges failed before (0 requests in 4 s at 0.5 a second). Found while looking for other limits that the hosts keep together; no deployment at hand states such a rate.

--- a/src/cold_limit.cpp
+++ b/src/cold_limit.cpp
@@ -7,9 +7,11 @@
 void
 ColdLimit::setCold(TimePoint aNow, Duration aLeft)
 {
+  if (!isCold(aNow)) {
+    m_tokens = 0.0;
+    m_tokensAt = aNow;
+  }
   m_coldUntil = aNow + aLeft;
-  m_tokens = 0.0;
-  m_tokensAt = aNow;
 }
 
 void
