A host without a share sends nothing to a cold server

Callers: none seen; a cold server could get the rate that it accepts from all hosts together from each standby or leaving host. Cause, of the same class as the stated limit: a rate that hosts keep together was divided by the number of entry hosts, and by 1 on a host that isn't one of them. Cold servers now use the division and the token bucket of stated limits.

hostWithoutShareSendsNothingToColdServer failed before (6 requests in 3 s, 0 allowed). holdsOverAnyWindow now also checks the windows of 1 s of cold servers. No deployment at hand states a rate for cold servers.

--- a/src/cold_limit.cpp
+++ b/src/cold_limit.cpp
@@ -1,46 +1,34 @@
 #include "cold_limit_p.h"
 
-#include <algorithm>
-
 namespace toucanridge {
 
 void
 ColdLimit::setCold(TimePoint aNow, Duration aLeft)
 {
   if (!isCold(aNow)) {
-    m_tokens = 0.0;
-    m_tokensAt = aNow;
+    m_share.clear(aNow);
   }
   m_coldUntil = aNow + aLeft;
 }
 
 void
-ColdLimit::setRate(double aPerSecond, std::size_t aHosts)
-{
-  m_ratePerSecond =
-    aPerSecond / static_cast<double>(std::max<std::size_t>(1, aHosts));
-}
-
-double
-ColdLimit::tokens(TimePoint aNow) const
+ColdLimit::setShare(TimePoint aNow, std::optional<double> aPerSecond)
 {
-  const double seconds =
-    std::chrono::duration<double>(aNow - m_tokensAt).count();
-  return std::min(1.0, m_tokens + m_ratePerSecond * seconds);
+  m_isLimited = aPerSecond.has_value();
+  m_share.setRate(aNow, aPerSecond.value_or(0.0));
 }
 
 bool
 ColdLimit::allows(TimePoint aNow) const
 {
-  return !isCold(aNow) || m_ratePerSecond <= 0.0 || tokens(aNow) >= 1.0;
+  return !isCold(aNow) || !m_isLimited || m_share.allows(aNow);
 }
 
 void
 ColdLimit::onSend(TimePoint aNow)
 {
-  if (isCold(aNow) && m_ratePerSecond > 0.0) {
-    m_tokens = tokens(aNow) - 1.0;
-    m_tokensAt = aNow;
+  if (isCold(aNow) && m_isLimited) {
+    m_share.onSend(aNow);
   }
 }
 
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -64,18 +64,34 @@
                              static_cast<double>(m_sharingHosts.count)));
 }
 
+/// @returns this host's share of a rate that a server accepts, in requests a
+///          second
+double
+ServerTable::rateShareAt(const ServerEntry& aEntry, double aPerSecond) const
+{
+  return rateShare({ aEntry.server.id, aEntry.server.dataCentre, aPerSecond },
+                   m_sharingHosts,
+                   m_host);
+}
+
 void
 ServerTable::divideStatedLimit(ServerEntry& aEntry) const
 {
   const TimePoint now = m_clock.now();
-  const auto limit = aEntry.statedLimit.perSecond(now);
-  if (limit) {
-    aEntry.statedLimit.setShare(
-      now,
-      rateShare({ aEntry.server.id, aEntry.server.dataCentre, *limit },
-                m_sharingHosts,
-                m_host));
+  if (const auto limit = aEntry.statedLimit.perSecond(now)) {
+    aEntry.statedLimit.setShare(now, rateShareAt(aEntry, *limit));
+  }
+}
+
+void
+ServerTable::divideColdRate(ServerEntry& aEntry,
+                            const ServiceContract* aContract) const
+{
+  std::optional<double> share;
+  if (aContract != nullptr && aContract->coldRequestsPerSecond > 0.0) {
+    share = rateShareAt(aEntry, aContract->coldRequestsPerSecond);
   }
+  aEntry.coldLimit.setShare(m_clock.now(), share);
 }
 
 void
@@ -118,9 +134,7 @@
     }
     const ServiceContract* contract = aRouting.service(published.service);
     entry->pool->setConnections(connectionShare(aRouting, published.service));
-    entry->coldLimit.setRate(
-      contract != nullptr ? contract->coldRequestsPerSecond : 0.0,
-      std::max<std::size_t>(1, m_sharingHosts.count));
+    divideColdRate(*entry, contract);
     divideStatedLimit(*entry);
     if (!published.draining &&
         aCatalogue.evacuated.count(published.dataCentre) == 0) {
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -79,6 +79,10 @@
   std::size_t limitedServers() const;
 
 private:
+  double rateShareAt(const ServerEntry& aEntry, double aPerSecond) const;
+  /// Sets this host's share of the rate that a server accepts while it is cold.
+  void divideColdRate(ServerEntry& aEntry,
+                      const ServiceContract* aContract) const;
   std::size_t connectionShare(const RoutingTable& aRouting,
                               const std::string& aService) const;
 
--- a/tests/server_table_test.cpp
+++ b/tests/server_table_test.cpp
@@ -11,10 +11,19 @@
 class ServerTableTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ServerTableTest);
+  CPPUNIT_TEST(hostWithoutShareSendsNothingToColdServer);
   CPPUNIT_TEST(coldServerGetsRequestsWhileItsEntryChanges);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against standby hosts that each send a cold server the rate that it
+  // accepts from all hosts together.
+  void hostWithoutShareSendsNothingToColdServer()
+  {
+    ServerTable table(m_context, m_clock, "host-0", "dc-0");
+    CPPUNIT_ASSERT_EQUAL(0, sendFor(table, seconds(3)));
+  }
+
   // Guards against a cold server that gets no request until it is warm because
   // each change of its published entry restarts the wait for the next one.
   void coldServerGetsRequestsWhileItsEntryChanges()
--- a/tests/shared_budget_test.cpp
+++ b/tests/shared_budget_test.cpp
@@ -78,7 +78,7 @@
     constexpr std::size_t kHosts = 4;
     std::vector<ColdLimit> hosts(kHosts);
     for (ColdLimit& host : hosts) {
-      host.setRate(8.0, kHosts);
+      host.setShare(m_clock.now(), 8.0 / kHosts);
       host.setCold(m_clock.now(), std::chrono::seconds(10));
     }
     int sent = 0;
--- a/tests/stated_limit_test.cpp
+++ b/tests/stated_limit_test.cpp
@@ -99,17 +99,21 @@
   }
 
   // Guards against hosts that together exceed 1.5 times the limit, and 5, in a
-  // window of 4 s: when they save tokens and send at the same time, while a
-  // host restarts and others don't know yet that it left, and with low limits.
+  // window of 4 s (1 s for a cold server): when they save tokens and send at
+  // the same time, while a host restarts and others don't know yet that it
+  // left, and with low limits.
   void holdsOverAnyWindow()
   {
     for (const std::size_t count : { 2, 8, 10, 30 }) {
       for (const double rate : { 0.3, 1.0, 6.0, 24.0, 100.0 }) {
-        for (unsigned seed = 1; seed <= 5; ++seed) {
-          CPPUNIT_ASSERT_MESSAGE(std::to_string(count) + " hosts, " +
-                                   std::to_string(rate) + " a second",
-                                 mostInWindow(count, rate, seed) <=
-                                   1.5 * 4.0 * rate + 5.0);
+        for (const seconds window : { seconds(1), seconds(4) }) {
+          for (unsigned seed = 1; seed <= 5; ++seed) {
+            const auto length = static_cast<double>(window.count());
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(count) + " hosts, " +
+                                     std::to_string(rate) + " a second",
+                                   mostInWindow(count, rate, window, seed) <=
+                                     1.5 * length * rate + 5.0);
+          }
         }
       }
     }
@@ -151,16 +155,19 @@
   /// Simulates hosts that send all they may, with pauses of some seconds in
   /// which they save tokens. The first host restarts after 10 s; the others
   /// notice that it left only a second later, and that it is back at once.
-  /// @returns most requests of all hosts in a window of 4 s
-  double mostInWindow(std::size_t aHosts, double aRate, unsigned aSeed)
+  /// @returns most requests of all hosts in a window
+  double mostInWindow(std::size_t aHosts,
+                      double aRate,
+                      milliseconds aWindow,
+                      unsigned aSeed)
   {
     constexpr milliseconds kStep{ 20 };
-    constexpr int kStepsInWindow = 200;
     constexpr int kStepsInPhase = 100;
     constexpr int kRestartAt = 500;
     constexpr int kNoticedAt = 550;
     constexpr int kBackAt = 600;
     constexpr int kSteps = 1200;
+    const auto stepsInWindow = static_cast<std::size_t>(aWindow / kStep);
     std::mt19937 random(aSeed);
     const RatedServer server{ "i-1", "dc-0", aRate };
     const SharingHosts all = makeHosts(aHosts);
@@ -199,7 +206,7 @@
       m_clock.advance(kStep);
       window.push_back(sent);
       inWindow += sent;
-      if (window.size() > kStepsInWindow) {
+      if (window.size() > stepsInWindow) {
         inWindow -= window.front();
         window.pop_front();
       }
