Log listings of the platform and items that are ignored as older

The lines show that every host gets the listing of epoch 2 at revision 57 and ignores it, as it holds 58. No decision is changed.

--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -337,6 +337,14 @@
   const std::uint64_t before = m_items.revision();
   const std::set<std::string> changed = m_items.apply(aChanges);
   if (m_items.revision() == before) {
+    if (aChanges.to < before) {
+      logWrite(LogLevel::Warn,
+               LogLine("items-ignored")
+                 .add("held", before)
+                 .add("to", aChanges.to)
+                 .add("whole", aChanges.whole)
+                 .add("source", aSource));
+    }
     return;
   }
   for (const std::string& key : changed) {
