--- a/tests/platform_fakes.h
+++ b/tests/platform_fakes.h
@@ -94,6 +94,27 @@
       return 0;
     });
   }
+  /// Copies the items, for restore().
+  void backUp()
+  {
+    m_thread.sync([this] {
+      m_copy = m_items;
+      m_copyRevision = m_revision;
+      return 0;
+    });
+  }
+  /// Returns to the copy: later changes are lost and their revisions are given
+  /// out again.
+  void restore()
+  {
+    m_thread.sync([this] {
+      m_items = m_copy;
+      m_revision = m_copyRevision;
+      ++m_epoch;
+      m_watches.clear();
+      return 0;
+    });
+  }
   /// @returns the number of calls so far
   int calls() const { return m_calls; }
 
@@ -118,7 +139,7 @@
       std::list<Watch> watches;
       watches.swap(m_watches);
       for (Watch& watch : watches) {
-        watch.exchange->reply(events(watch.after));
+        reply(watch.exchange, events(watch.after));
       }
       return 0;
     });
@@ -131,11 +152,15 @@
     if (m_down) {
       m_unanswered.push_back(aExchange);
     } else if (target.find("/kv-range") == 0) {
-      aExchange->reply(makeList("items", 0, false));
+      reply(aExchange, makeList("items", 0, false));
     } else {
       const std::uint64_t after = queryNumber(target, "after=");
+      if (after > m_revision) {
+        reply(aExchange, makeResponse(410, ""));
+        return;
+      }
       if (m_revision > after) {
-        aExchange->reply(events(after));
+        reply(aExchange, events(after));
         return;
       }
       auto timer = std::make_shared<boost::asio::steady_timer>(
@@ -143,13 +168,19 @@
         std::chrono::milliseconds(queryNumber(target, "wait_ms=")));
       timer->async_wait([this, aExchange, after](auto aError) {
         if (!aError && !m_down) {
-          aExchange->reply(events(after));
+          reply(aExchange, events(after));
         }
       });
       m_watches.push_back({ aExchange, after, timer });
     }
   }
 
+  void reply(const HttpExchangePtr& aExchange, HttpResponse aResponse) const
+  {
+    aResponse.set("Store-Era", std::to_string(m_epoch));
+    aExchange->reply(std::move(aResponse));
+  }
+
   HttpResponse events(std::uint64_t aAfter)
   {
     return makeList("events", aAfter, true);
@@ -196,6 +227,9 @@
   HttpServer m_server;
   std::map<std::string, Item> m_items;
   std::uint64_t m_revision = 1;
+  std::uint64_t m_epoch = 1; ///< rises with each restore()
+  std::map<std::string, Item> m_copy;
+  std::uint64_t m_copyRevision = 1;
   std::list<Watch> m_watches;
   std::vector<HttpExchangePtr> m_unanswered;
   std::atomic<int> m_calls{ 0 };
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -112,6 +112,9 @@
   CPPUNIT_TEST(leavesDrainingServer);
   CPPUNIT_TEST(leavesEvacuatedDataCentre);
   CPPUNIT_TEST(followsPeerWithoutThePlatform);
+  CPPUNIT_TEST(takesChangesAfterTheStoreLostSome);
+  CPPUNIT_TEST(missesNoChangeWhoseRevisionWasGivenOutAgain);
+  CPPUNIT_TEST(keepsConfigurationThatTheStoreLost);
   CPPUNIT_TEST(directoryDropsHostThatLeaves);
   CPPUNIT_TEST(shutdownCutsNoRequest);
   CPPUNIT_TEST(stopAnswersWhatStillRuns);
@@ -306,6 +309,57 @@
     CPPUNIT_ASSERT_EQUAL(200U, query(1, "/v5/x").response.result_int());
   }
 
+  // Guards against hosts that ignore all changes up to the highest revision
+  // seen, after the store has lost its latest changes and its revisions went
+  // back.
+  void takesChangesAfterTheStoreLostSome()
+  {
+    start(2);
+    m_store->backUp();
+    putVersions(2, 6);
+    CPPUNIT_ASSERT(bothServe("/v6/x"));
+    m_store->restore();
+    m_store->put("op/config", configuration(7, 1000, 7));
+    CPPUNIT_ASSERT(bothServe("/v7/x"));
+  }
+
+  // Guards against a change that is missed without any sign: the store lost it
+  // and its revision is below one that the hosts know already, while later
+  // changes have raised the revision above it.
+  void missesNoChangeWhoseRevisionWasGivenOutAgain()
+  {
+    start(2);
+    m_store->backUp();
+    putVersions(2, 4);
+    CPPUNIT_ASSERT(bothServe("/v4/x"));
+    m_store->setDown(true);
+    m_store->restore();
+    m_store->put("op/config", configuration(5, 1000, 5));
+    for (int i = 0; i < 6; ++i) {
+      m_store->put("other/key", std::to_string(i));
+    }
+    m_store->setDown(false);
+    CPPUNIT_ASSERT(bothServe("/v5/x"));
+  }
+
+  // Guards against a return to an older configuration while the store has lost
+  // the latest one, on hosts that run and on one that starts meanwhile.
+  void keepsConfigurationThatTheStoreLost()
+  {
+    start(2);
+    m_store->backUp();
+    putVersions(2, 3);
+    CPPUNIT_ASSERT(bothServe("/v3/x"));
+    m_store->restore();
+    std::this_thread::sleep_for(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(200U, query(0, "/v3/x").response.result_int());
+    CPPUNIT_ASSERT_EQUAL(200U, query(1, "/v3/x").response.result_int());
+    m_nodes.pop_back();
+    m_nodes.push_back(std::make_unique<TestNode>(1, kStore, kShortGraceS));
+    CPPUNIT_ASSERT(waitFor([&] { return isReady(1); }, milliseconds(4000)));
+    CPPUNIT_ASSERT(bothServe("/v3/x"));
+  }
+
   // Guards against a directory that still lists a host after it left.
   void directoryDropsHostThatLeaves()
   {
@@ -503,6 +557,26 @@
     return true;
   }
 
+  /// Publishes configurations, each with a route of its own.
+  void putVersions(std::uint64_t aFirst, std::uint64_t aLast)
+  {
+    for (std::uint64_t version = aFirst; version <= aLast; ++version) {
+      m_store->put("op/config", configuration(version, 1000, version));
+    }
+  }
+
+  /// @returns true when both hosts serve a target within the time in which a
+  ///          change must be in force
+  bool bothServe(const std::string& aTarget)
+  {
+    return waitFor(
+      [&] {
+        return query(0, aTarget).response.result_int() == 200 &&
+               query(1, aTarget).response.result_int() == 200;
+      },
+      milliseconds(3000));
+  }
+
   void addServer(const std::string& aService,
                  int aIndex,
                  const std::string& aDataCentre)
