Copies keep a later configuration or server entry than the platform has

What is told by the values themselves decides: the version of a configuration; the sequence number of a server's entry, within one start of the server. A configuration is never removed. Hosts announce the version in force, so that one that starts gets the later configuration from a peer though both have the same revision.

Tests: keepsLaterValueThatThePlatformLost, getsLaterValueFromPeerAtTheSameRevision and ordersValuesByVersionAndSequence; the first two fail with the two decisions switched off, as before this change.

--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -109,6 +109,7 @@
                 [this](const HttpExchangePtr& aExchange) { onHttp(aExchange); })
   , m_timer(aContext)
   , m_started(aClock.now())
+  , m_items(aAdapter.decoder)
   , m_catalogueKeeper(aClock)
 {
   m_roster.setSeeds(aSettings.seeds);
@@ -336,7 +337,7 @@
 {
   const std::uint64_t before = m_items.revision();
   const std::set<std::string> changed = m_items.apply(aChanges);
-  if (m_items.revision() == before) {
+  if (changed.empty()) {
     if (aChanges.to < before) {
       logWrite(LogLevel::Warn,
                LogLine("items-ignored")
@@ -372,9 +373,6 @@
         break;
     }
   }
-  if (changed.empty()) {
-    return;
-  }
   m_itemsChangedAt = m_clock.now();
   logWrite(LogLevel::Info,
            LogLine("items-changed")
@@ -491,9 +489,10 @@
 {
   // With published items, the digest's fields have another meaning: rules is
   // the revision of the items, hosts is 1 while this host's reads of the
-  // platform fail.
+  // platform fail, hostsHash is the version of the configuration.
   ConfigDigest digest;
   digest.rules = m_routing ? m_items.revision() : 0;
+  digest.hostsHash = m_routing ? m_routing->version() : 0;
   digest.hosts = m_isReader && m_adapter.source.lastCallFailed() ? 1 : 0;
   return digest;
 }
@@ -514,13 +513,21 @@
   revision = aDigest.rules;
   m_peerReadsFail[aHost] = aDigest.hosts != 0;
   m_roster.onProbeAnswered(aHost);
-  if (aDigest.rules > m_items.revision()) {
-    fetchFrom(aHost, aAddress);
+  // After the platform has lost changes, a peer may hold a later configuration
+  // than the platform and this host; only a whole copy contains it.
+  const bool laterRouting =
+    m_routing && aDigest.hostsHash > m_routing->version();
+  if (laterRouting && aDigest.rules <= m_items.revision()) {
+    fetchFrom(aHost, aAddress, 0);
+  } else if (aDigest.rules > m_items.revision()) {
+    fetchFrom(aHost, aAddress, m_items.revision());
   }
 }
 
 void
-EntryControl::fetchFrom(const std::string& aHost, const PeerAddress& aAddress)
+EntryControl::fetchFrom(const std::string& aHost,
+                        const PeerAddress& aAddress,
+                        std::uint64_t aBaseRevision)
 {
   const TimePoint now = m_clock.now();
   const bool delayed = m_items.revision() != 0 &&
@@ -539,7 +546,7 @@
   }
   m_nextFetchAt = now + kFetchRetryInterval;
   ItemsFetch fetch;
-  fetch.baseRevision = m_items.revision();
+  fetch.baseRevision = aBaseRevision;
   logWrite(
     LogLevel::Info,
     LogLine("items-fetch").add("peer", aHost).add("have", fetch.baseRevision));
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -90,7 +90,11 @@
   std::vector<Host> servingHosts() const;
   std::vector<Host> entryHosts() const;
   HttpResponse makeAddressesResponse() const;
-  void fetchFrom(const std::string& aHost, const PeerAddress& aAddress);
+  /// @param[in] aBaseRevision revision after which changes are wanted; 0: all
+  ///            items
+  void fetchFrom(const std::string& aHost,
+                 const PeerAddress& aAddress,
+                 std::uint64_t aBaseRevision);
   void onPeerRequest(const std::string& aPayload,
                      const PeerLinks::Reply& aReply);
 
--- a/src/gossip_wire_p.h
+++ b/src/gossip_wire_p.h
@@ -91,8 +91,8 @@
 
 /// Revisions and hashes of the documents that a node has accepted; zero while
 /// it is starting. Entry nodes send the revision of the published items as
-/// `rules` and, as `hosts`, 1 while their reads of the platform fail; see
-/// EntryControl::digest().
+/// `rules`, the version of the configuration as `hostsHash` and, as `hosts`, 1
+/// while their reads of the platform fail; see EntryControl::digest().
 struct ConfigDigest
 {
   std::uint64_t rules = 0;
--- a/src/published_items.cpp
+++ b/src/published_items.cpp
@@ -4,6 +4,11 @@
 
 namespace toucanridge {
 
+PublishedItems::PublishedItems(const ItemOrderI& aOrder)
+  : m_order(aOrder)
+{
+}
+
 void
 PublishedItems::addToHistory(std::uint64_t aRevision, const std::string& aKey)
 {
@@ -20,7 +25,8 @@
 {
   const auto held = m_items.find(aItem.key);
   if (aItem.deleted) {
-    if (held == m_items.end() || held->second.revision > aItem.revision) {
+    if (held == m_items.end() || held->second.revision > aItem.revision ||
+        m_order.isPermanent(aItem.key)) {
       return false;
     }
     m_items.erase(held);
@@ -32,17 +38,45 @@
   }
   const bool differs =
     held == m_items.end() || held->second.value != aItem.value;
+  if (held != m_items.end() && differs &&
+      m_order.isOlder(aItem.key, aItem.value, held->second.value)) {
+    // The platform has lost the later value; its writer writes it again.
+    held->second.revision = aItem.revision;
+    return false;
+  }
   m_items[aItem.key] = aItem;
   addToHistory(aItem.revision, aItem.key);
   return differs;
 }
 
+/// Takes the values that were written later than those held, or whose item is
+/// permanent and not held.
+std::set<std::string>
+PublishedItems::takeLaterValues(const std::vector<PublishedItem>& aItems)
+{
+  std::set<std::string> changed;
+  for (const PublishedItem& item : aItems) {
+    const auto held = m_items.find(item.key);
+    const bool isLater =
+      held == m_items.end()
+        ? m_order.isPermanent(item.key)
+        : m_order.isOlder(item.key, held->second.value, item.value);
+    if (isLater) {
+      PublishedItem& taken = m_items[item.key];
+      taken.key = item.key;
+      taken.value = item.value;
+      changed.insert(item.key);
+    }
+  }
+  return changed;
+}
+
 std::set<std::string>
 PublishedItems::apply(const ItemChanges& aChanges)
 {
   std::set<std::string> changed;
   if (aChanges.to <= m_revision) {
-    return changed;
+    return aChanges.whole ? takeLaterValues(aChanges.items) : changed;
   }
   if (aChanges.whole) {
     std::set<std::string> listedKeys;
--- a/src/published_items_p.h
+++ b/src/published_items_p.h
@@ -2,7 +2,8 @@
 #define TOUCANRIDGE_PUBLISHED_ITEMS_P_H
 
 /// This host's copy of the key-value items that the platform publishes. It is
-/// updated from the platform or from a peer's copy, never to an older revision.
+/// updated from the platform or from a peer's copy, never to an older revision
+/// or to a value that was written earlier.
 
 #include <cstdint>
 #include <deque>
@@ -60,15 +61,32 @@
   }
 };
 
+/// What the values of items tell about the order in which they were written.
+class ItemOrderI
+{
+public:
+  virtual ~ItemOrderI() = default;
+  /// @returns true when aValue was certainly written before aOther, a value of
+  ///          the same key
+  virtual bool isOlder(const std::string& aKey,
+                       const std::string& aValue,
+                       const std::string& aOther) const = 0;
+  /// @returns true when the item is replaced and never removed
+  virtual bool isPermanent(const std::string& aKey) const = 0;
+};
+
 class PublishedItems
 {
 public:
+  explicit PublishedItems(const ItemOrderI& aOrder);
+
   /// @returns the revision up to which the copy is complete, 0 when empty
   std::uint64_t revision() const { return m_revision; }
   const std::map<std::string, PublishedItem>& items() const { return m_items; }
 
-  /// Applies changes from the platform or a peer.
-  /// @returns keys whose value changed; none when the changes are not newer
+  /// Applies changes from the platform or a peer. Of a whole copy that isn't
+  /// newer than this one, it takes only the values that were written later.
+  /// @returns keys whose value changed
   std::set<std::string> apply(const ItemChanges& aChanges);
   /// @returns the changes that bring a copy at that revision to this one's
   ItemChanges changesAfter(std::uint64_t aRevision) const;
@@ -84,8 +102,11 @@
   static constexpr std::size_t kMaxHistory = 1024;
 
   bool applyItem(const PublishedItem& aItem);
+  std::set<std::string> takeLaterValues(
+    const std::vector<PublishedItem>& aItems);
   void addToHistory(std::uint64_t aRevision, const std::string& aKey);
 
+  const ItemOrderI& m_order;
   std::map<std::string, PublishedItem> m_items;
   std::uint64_t m_revision = 0;
   std::deque<Change> m_history;     ///< oldest first
--- a/src/published_source_p.h
+++ b/src/published_source_p.h
@@ -53,10 +53,9 @@
 };
 
 /// Decodes published items.
-class PublishedDecoderI
+class PublishedDecoderI : public ItemOrderI
 {
 public:
-  virtual ~PublishedDecoderI() = default;
   virtual ItemKind kindOf(const std::string& aKey) const = 0;
   /// @returns null when the value can't be read; the reason is logged
   virtual std::shared_ptr<const RoutingTable> decodeRouting(
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(refusesMalformedServerEntries);
   CPPUNIT_TEST(passesRequestsOnUnchanged);
   CPPUNIT_TEST(classifiesServerResponses);
+  CPPUNIT_TEST(ordersValuesByVersionAndSequence);
   CPPUNIT_TEST(readsRequestLimit);
   CPPUNIT_TEST(neverPassesConnectionHeadersOn);
   CPPUNIT_TEST_SUITE_END();
@@ -238,6 +239,32 @@
     CPPUNIT_ASSERT(m_protocol.readAnswer(response).otherServer);
   }
 
+  // Guards against an older configuration or server entry that counts as the
+  // latest, and against a restarted server whose entry counts as older.
+  void ordersValuesByVersionAndSequence()
+  {
+    const auto older =
+      [this](const char* aKey, const char* aValue, const char* aOther) {
+        return m_itemDecoder.isOlder(aKey, aValue, aOther);
+      };
+    const char* nine = R"({"version":9,"routes":[]})";
+    const char* ten = R"({"version":10,"routes":[]})";
+    CPPUNIT_ASSERT(older("op/config", nine, ten));
+    CPPUNIT_ASSERT(older("op/config", "broken", ten));
+    CPPUNIT_ASSERT(!older("op/config", ten, nine));
+    CPPUNIT_ASSERT(!older("op/config", ten, "broken"));
+    const char* first = R"({"born":5,"sequence":1,"state":"ready"})";
+    const char* second = R"({"born":5,"sequence":2,"state":"draining"})";
+    const char* restarted = R"({"born":6,"sequence":0,"state":"ready"})";
+    CPPUNIT_ASSERT(older("servers/i", first, second));
+    CPPUNIT_ASSERT(!older("servers/i", second, first));
+    CPPUNIT_ASSERT(!older("servers/i", restarted, second));
+    CPPUNIT_ASSERT(!older("servers/i", "broken", second));
+    CPPUNIT_ASSERT(!older("op/evacuate/z", "1", "2"));
+    CPPUNIT_ASSERT(m_itemDecoder.isPermanent("op/config"));
+    CPPUNIT_ASSERT(!m_itemDecoder.isPermanent("servers/i"));
+  }
+
   // Guards against a server's request limit that isn't read, and against a
   // malformed one that is read as a number.
   void readsRequestLimit()
--- a/tests/published_items_test.cpp
+++ b/tests/published_items_test.cpp
@@ -8,12 +8,34 @@
 using namespace toucanridge;
 using std::chrono::milliseconds;
 
+namespace {
+
+/// Orders values of the form "v<digit>" and keeps the item "config".
+class VersionOrder : public ItemOrderI
+{
+public:
+  bool isOlder(const std::string& /*aKey*/,
+               const std::string& aValue,
+               const std::string& aOther) const override
+  {
+    return aValue[0] == 'v' && aOther[0] == 'v' && aValue < aOther;
+  }
+  bool isPermanent(const std::string& aKey) const override
+  {
+    return aKey == "config";
+  }
+};
+
+} // namespace
+
 class PublishedItemsTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(PublishedItemsTest);
   CPPUNIT_TEST(neverGoesBack);
   CPPUNIT_TEST(wholeListingDropsWhatIsGone);
   CPPUNIT_TEST(copiesConverge);
+  CPPUNIT_TEST(keepsLaterValueThatThePlatformLost);
+  CPPUNIT_TEST(getsLaterValueFromPeerAtTheSameRevision);
   CPPUNIT_TEST(lapsedEntryIsKeptForAMoment);
   CPPUNIT_TEST(drainingEntryGoesAtOnce);
   CPPUNIT_TEST(unusableEntryNamesNoServer);
@@ -24,7 +46,7 @@
   // platform or a peer that lags.
   void neverGoesBack()
   {
-    PublishedItems items;
+    PublishedItems items(m_order);
     items.apply(changes(7, { item("a", "new", 7) }));
     CPPUNIT_ASSERT(items.apply(changes(6, { item("a", "old", 6) })).empty());
     CPPUNIT_ASSERT(items.apply(changes(9, { item("a", "old", 6) })).empty());
@@ -36,7 +58,7 @@
   // when a complete listing arrives.
   void wholeListingDropsWhatIsGone()
   {
-    PublishedItems items;
+    PublishedItems items(m_order);
     items.apply(changes(5, { item("a", "1", 4), item("b", "1", 5) }));
     ItemChanges whole = changes(9, { item("b", "1", 5) });
     whole.whole = true;
@@ -52,9 +74,9 @@
   {
     for (unsigned seed = 1; seed <= 30; ++seed) {
       std::mt19937 random(seed);
-      PublishedItems source;
-      PublishedItems middle;
-      PublishedItems last;
+      PublishedItems source(m_order);
+      PublishedItems middle(m_order);
+      PublishedItems last(m_order);
       for (std::uint64_t revision = 1; revision <= 300; ++revision) {
         const std::string key(1, static_cast<char>('a' + random() % 8));
         PublishedItem change = item(key, std::to_string(random()), revision);
@@ -78,6 +100,45 @@
     }
   }
 
+  // Guards against an older value, or none, in place of the latest one after
+  // the platform has lost it, and against a copy that doesn't take the next
+  // value.
+  void keepsLaterValueThatThePlatformLost()
+  {
+    PublishedItems items(m_order);
+    items.apply(changes(5, { item("config", "v5", 4), item("s", "v2", 5) }));
+    ItemChanges whole = changes(9, { item("config", "v3", 8) });
+    whole.whole = true;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), items.apply(whole).size());
+    CPPUNIT_ASSERT_EQUAL(std::string("v5"), items.items().at("config").value);
+    whole = changes(10, {});
+    whole.whole = true;
+    items.apply(whole);
+    CPPUNIT_ASSERT_EQUAL(std::string("v5"), items.items().at("config").value);
+    CPPUNIT_ASSERT(
+      items.apply(changes(11, { item("config", "v4", 11) })).empty());
+    items.apply(changes(12, { item("config", "v6", 12) }));
+    CPPUNIT_ASSERT_EQUAL(std::string("v6"), items.items().at("config").value);
+  }
+
+  // Guards against a host that starts while the platform has lost the latest
+  // value and that doesn't get it from a peer, whose revision is the same.
+  void getsLaterValueFromPeerAtTheSameRevision()
+  {
+    PublishedItems peer(m_order);
+    peer.apply(changes(5, { item("config", "v5", 4), item("s", "v2", 5) }));
+    ItemChanges restored =
+      changes(9, { item("config", "v3", 8), item("t", "v1", 2) });
+    restored.whole = true;
+    peer.apply(restored);
+    PublishedItems started(m_order);
+    started.apply(restored);
+    const auto changed = started.apply(peer.changesAfter(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), changed.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("v5"), started.items().at("config").value);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), started.items().size());
+  }
+
   // Guards against a service that loses all servers while their entries lapse
   // for a moment, and against a server that is still used three seconds after
   // its removal.
@@ -151,6 +212,7 @@
   }
 
   ManualClock m_clock;
+  VersionOrder m_order;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PublishedItemsTest);
