A server that left stays out when an old copy brings its entry back

Callers: requests to a server that has left, after the store returned from a copy in which its entry is still ready.

The keeper remembers the last entry of a removed server for a minute. An entry of the same start with no higher sequence number is used only after 4 s: that of a server that is gone lapses within three heartbeats, that of one that is alive stays. serverThatLeftStaysOutWhenItsEntryReturns failed before (the entry was in the catalogue at once).

--- a/src/catalogue_keeper.cpp
+++ b/src/catalogue_keeper.cpp
@@ -3,6 +3,13 @@
 #include "log_p.h"
 
 namespace toucanridge {
+namespace {
+
+/// How long removed entries are remembered: longer than the changes that the
+/// platform may lose.
+constexpr std::chrono::seconds kRemovedMemory{ 60 };
+
+} // namespace
 
 CatalogueKeeper::CatalogueKeeper(const ClockI& aClock)
   : m_clock(aClock)
@@ -18,7 +25,39 @@
     m_entries.erase(aKey);
     return;
   }
-  m_entries[aKey] = { std::move(*aServer), TimePoint() };
+  Entry& entry = m_entries[aKey];
+  const TimePoint now = m_clock.now();
+  if (mayBeGone(aKey, *aServer)) {
+    entry.usableFrom = now + kReturnDelay;
+    logWrite(LogLevel::Info,
+             LogLine("server-entry-returned")
+               .add("server", aServer->id)
+               .add("service", aServer->service)
+               .add("sequence", aServer->sequence));
+  } else {
+    entry.usableFrom = TimePoint();
+  }
+  m_removed.erase(aKey);
+  entry.server = std::move(*aServer);
+  entry.expiresAt = TimePoint();
+}
+
+/// @returns true when the entry was removed before and its server has published
+///          nothing since
+bool
+CatalogueKeeper::mayBeGone(const std::string& aKey,
+                           const BackendServer& aServer) const
+{
+  const auto entry = m_removed.find(aKey);
+  return entry != m_removed.end() &&
+         entry->second.startedMs == aServer.startedMs &&
+         aServer.sequence <= entry->second.sequence;
+}
+
+void
+CatalogueKeeper::removed(const std::string& aKey, const BackendServer& aServer)
+{
+  m_removed[aKey] = { aServer.startedMs, aServer.sequence, m_clock.now() };
 }
 
 void
@@ -28,6 +67,7 @@
   if (found == m_entries.end() || found->second.expiresAt != TimePoint()) {
     return;
   }
+  removed(aKey, found->second.server);
   if (found->second.server.draining) {
     m_entries.erase(found);
     m_changed = true;
@@ -54,12 +94,23 @@
 CatalogueKeeper::tick()
 {
   const TimePoint now = m_clock.now();
+  const auto hasPassed = [now](TimePoint aTime) {
+    return aTime != TimePoint() && now >= aTime;
+  };
   for (auto i = m_entries.begin(); i != m_entries.end();) {
-    const bool expired =
-      i->second.expiresAt != TimePoint() && now >= i->second.expiresAt;
+    Entry& entry = i->second;
+    if (hasPassed(entry.usableFrom)) {
+      entry.usableFrom = TimePoint();
+      m_changed = true;
+    }
+    const bool expired = hasPassed(entry.expiresAt);
     m_changed |= expired;
     i = expired ? m_entries.erase(i) : std::next(i);
   }
+  for (auto i = m_removed.begin(); i != m_removed.end();) {
+    i =
+      now - i->second.at >= kRemovedMemory ? m_removed.erase(i) : std::next(i);
+  }
 }
 
 std::shared_ptr<const ServerCatalogue>
@@ -68,8 +119,11 @@
   auto catalogue = std::make_shared<ServerCatalogue>();
   catalogue->revision = aRevision;
   catalogue->evacuated = m_evacuated;
-  for (const auto& entry : m_entries) {
-    catalogue->servers.push_back(entry.second.server);
+  const TimePoint now = m_clock.now();
+  for (const auto& [key, entry] : m_entries) {
+    if (now >= entry.usableFrom) {
+      catalogue->servers.push_back(entry.server);
+    }
   }
   m_changed = false;
   return catalogue;
--- a/src/catalogue_keeper_p.h
+++ b/src/catalogue_keeper_p.h
@@ -1,8 +1,10 @@
 #ifndef TOUCANRIDGE_CATALOGUE_KEEPER_P_H
 #define TOUCANRIDGE_CATALOGUE_KEEPER_P_H
 
-/// Builds the catalogue of backend servers from single published entries, and
-/// keeps an entry for a grace period when it disappears without notice.
+/// Builds the catalogue of backend servers from single published entries. Keeps
+/// an entry for a grace period when it disappears without notice, and waits for
+/// confirmation when an entry may come from an old copy of the platform's
+/// items.
 
 #include <map>
 #include <memory>
@@ -24,6 +26,10 @@
   /// to three seconds after its removal.
   static constexpr std::chrono::milliseconds kLapseGrace{ 2000 };
 
+  /// How long a removed entry that appears again unchanged isn't used. The
+  /// entry of a server that is gone lapses within three heartbeats.
+  static constexpr std::chrono::milliseconds kReturnDelay{ 4000 };
+
   explicit CatalogueKeeper(const ClockI& aClock);
 
   /// Stores an entry that was published or changed.
@@ -33,10 +39,10 @@
   /// Handles the removal of an entry: drops it at once when it is draining,
   /// after kLapseGrace otherwise.
   void remove(const std::string& aKey);
-  /// Sets whether a data centre is evacuated.
+  /// Begins or ends the evacuation of a data centre.
   void setEvacuated(const std::string& aDataCentre, bool aEvacuated);
 
-  /// Drops entries whose grace period has ended.
+  /// Applies the periods that have ended.
   void tick();
   /// @returns true when the catalogue differs from the one built last
   bool isChanged() const { return m_changed; }
@@ -47,12 +53,24 @@
   struct Entry
   {
     BackendServer server;
-    TimePoint expiresAt; ///< end of the grace period; unset while published
+    TimePoint expiresAt;  ///< end of the grace period; unset while published
+    TimePoint usableFrom; ///< not in the catalogue before
+  };
+  /// The last entry of a server that was removed.
+  struct Removed
+  {
+    std::uint64_t startedMs = 0;
+    std::uint64_t sequence = 0;
+    TimePoint at;
   };
 
+  void removed(const std::string& aKey, const BackendServer& aServer);
+  bool mayBeGone(const std::string& aKey, const BackendServer& aServer) const;
+
   const ClockI& m_clock;
-  std::map<std::string, Entry> m_entries; ///< by key
-  std::set<std::string> m_evacuated;      ///< data centres
+  std::map<std::string, Entry> m_entries;   ///< by key
+  std::map<std::string, Removed> m_removed; ///< by key
+  std::set<std::string> m_evacuated;        ///< data centres
   bool m_changed = true;
 };
 
--- a/src/routing_p.h
+++ b/src/routing_p.h
@@ -99,6 +99,7 @@
   std::string dataCentre;
   bool draining = false;
   std::uint64_t startedMs = 0; ///< Unix time of its start, 0 if not published
+  std::uint64_t sequence = 0;  ///< rises with each entry that it publishes
   std::uint32_t slots = 1;     ///< requests that it can run at once
   /// How much longer the server is cold, at the time the entry was written.
   std::chrono::milliseconds coldLeft{ 0 };
--- a/tests/published_items_test.cpp
+++ b/tests/published_items_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(lapsedEntryIsKeptForAMoment);
   CPPUNIT_TEST(drainingEntryGoesAtOnce);
   CPPUNIT_TEST(unusableEntryNamesNoServer);
+  CPPUNIT_TEST(serverThatLeftStaysOutWhenItsEntryReturns);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -188,6 +189,41 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeper.build(2)->evacuated.size());
   }
 
+  // Guards against requests to a server that has left, whose entry returns with
+  // an old copy of the platform's items, and against a server that isn't used
+  // although it is back.
+  void serverThatLeftStaysOutWhenItsEntryReturns()
+  {
+    CatalogueKeeper keeper(m_clock);
+    BackendServer left = server(true);
+    left.startedMs = 5;
+    left.sequence = 9;
+    keeper.set("servers/1", left);
+    keeper.remove("servers/1");
+    left.draining = false;
+    left.sequence = 8;
+    keeper.set("servers/1", left);
+    CPPUNIT_ASSERT(keeper.build(1)->servers.empty());
+    m_clock.advance(CatalogueKeeper::kReturnDelay - milliseconds(1));
+    keeper.tick();
+    CPPUNIT_ASSERT(keeper.build(2)->servers.empty());
+    // The entry hasn't lapsed: its server is alive.
+    m_clock.advance(milliseconds(1));
+    keeper.tick();
+    CPPUNIT_ASSERT(keeper.isChanged());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeper.build(3)->servers.size());
+
+    keeper.remove("servers/1");
+    left.sequence = 10;
+    keeper.set("servers/1", left);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeper.build(4)->servers.size());
+    keeper.remove("servers/1");
+    left.startedMs = 6;
+    left.sequence = 0;
+    keeper.set("servers/1", left);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeper.build(5)->servers.size());
+  }
+
 private:
   static PublishedItem item(const std::string& aKey,
                             const std::string& aValue,
