An evacuation that is missing in a listing holds for 5 s

Callers: none seen. After the store returned from a copy that lacks an evacuation, hosts would send new work to the data centre until the operator has written it again. A change that removes the key still ends the evacuation at once. evacuationMissingInAListingHoldsOn fails when the end takes effect at once, as before.

--- a/src/catalogue_keeper.cpp
+++ b/src/catalogue_keeper.cpp
@@ -84,12 +84,24 @@
 CatalogueKeeper::setEvacuated(const std::string& aDataCentre, bool aEvacuated)
 {
   if (aEvacuated) {
-    m_changed |= m_evacuated.insert(aDataCentre).second;
+    m_changed |= m_evacuated.count(aDataCentre) == 0;
+    m_evacuated[aDataCentre] = TimePoint();
   } else {
     m_changed |= m_evacuated.erase(aDataCentre) > 0;
   }
 }
 
+void
+CatalogueKeeper::onEvacuationMissing(const std::string& aDataCentre)
+{
+  const auto found = m_evacuated.find(aDataCentre);
+  if (found != m_evacuated.end() && found->second == TimePoint()) {
+    found->second = m_clock.now() + kEvacuationGrace;
+    logWrite(LogLevel::Warn,
+             LogLine("evacuation-missing").add("data_centre", aDataCentre));
+  }
+}
+
 void
 CatalogueKeeper::tick()
 {
@@ -107,6 +119,11 @@
     m_changed |= expired;
     i = expired ? m_entries.erase(i) : std::next(i);
   }
+  for (auto i = m_evacuated.begin(); i != m_evacuated.end();) {
+    const bool ended = hasPassed(i->second);
+    m_changed |= ended;
+    i = ended ? m_evacuated.erase(i) : std::next(i);
+  }
   for (auto i = m_removed.begin(); i != m_removed.end();) {
     i =
       now - i->second.at >= kRemovedMemory ? m_removed.erase(i) : std::next(i);
@@ -118,7 +135,9 @@
 {
   auto catalogue = std::make_shared<ServerCatalogue>();
   catalogue->revision = aRevision;
-  catalogue->evacuated = m_evacuated;
+  for (const auto& entry : m_evacuated) {
+    catalogue->evacuated.insert(entry.first);
+  }
   const TimePoint now = m_clock.now();
   for (const auto& [key, entry] : m_entries) {
     if (now >= entry.usableFrom) {
--- a/src/catalogue_keeper_p.h
+++ b/src/catalogue_keeper_p.h
@@ -3,13 +3,12 @@
 
 /// Builds the catalogue of backend servers from single published entries. Keeps
 /// an entry for a grace period when it disappears without notice, and waits for
-/// confirmation when an entry may come from an old copy of the platform's
-/// items.
+/// confirmation when an entry or the end of an evacuation may come from an old
+/// copy of the platform's items.
 
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "clock_p.h"
@@ -29,6 +28,9 @@
   /// How long a removed entry that appears again unchanged isn't used. The
   /// entry of a server that is gone lapses within three heartbeats.
   static constexpr std::chrono::milliseconds kReturnDelay{ 4000 };
+  /// How long an evacuation is kept whose item is missing in a listing. After
+  /// the platform has lost it, the operator writes it again.
+  static constexpr std::chrono::milliseconds kEvacuationGrace{ 5000 };
 
   explicit CatalogueKeeper(const ClockI& aClock);
 
@@ -41,6 +43,9 @@
   void remove(const std::string& aKey);
   /// Begins or ends the evacuation of a data centre.
   void setEvacuated(const std::string& aDataCentre, bool aEvacuated);
+  /// Handles an evacuation that is missing in a listing: ends it after
+  /// kEvacuationGrace.
+  void onEvacuationMissing(const std::string& aDataCentre);
 
   /// Applies the periods that have ended.
   void tick();
@@ -70,7 +75,8 @@
   const ClockI& m_clock;
   std::map<std::string, Entry> m_entries;   ///< by key
   std::map<std::string, Removed> m_removed; ///< by key
-  std::set<std::string> m_evacuated;        ///< data centres
+  /// Data centres, with the end of the grace period, unset while published.
+  std::map<std::string, TimePoint> m_evacuated;
   bool m_changed = true;
 };
 
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -366,8 +366,13 @@
         }
         break;
       case ItemKind::Evacuation:
-        m_catalogueKeeper.setEvacuated(
-          m_adapter.decoder.evacuatedDataCentre(key), present);
+        if (!present && aChanges.whole) {
+          m_catalogueKeeper.onEvacuationMissing(
+            m_adapter.decoder.evacuatedDataCentre(key));
+        } else {
+          m_catalogueKeeper.setEvacuated(
+            m_adapter.decoder.evacuatedDataCentre(key), present);
+        }
         break;
       case ItemKind::Other:
         break;
--- a/tests/published_items_test.cpp
+++ b/tests/published_items_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(drainingEntryGoesAtOnce);
   CPPUNIT_TEST(unusableEntryNamesNoServer);
   CPPUNIT_TEST(serverThatLeftStaysOutWhenItsEntryReturns);
+  CPPUNIT_TEST(evacuationMissingInAListingHoldsOn);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +225,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeper.build(5)->servers.size());
   }
 
+  // Guards against new work for an evacuated data centre while the platform has
+  // lost the evacuation, and against an evacuation that never ends.
+  void evacuationMissingInAListingHoldsOn()
+  {
+    CatalogueKeeper keeper(m_clock);
+    keeper.setEvacuated("bkk-lat", true);
+    keeper.onEvacuationMissing("bkk-lat");
+    m_clock.advance(CatalogueKeeper::kEvacuationGrace - milliseconds(1));
+    keeper.tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeper.build(1)->evacuated.size());
+    keeper.setEvacuated("bkk-lat", true); // written again
+    m_clock.advance(CatalogueKeeper::kEvacuationGrace);
+    keeper.tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), keeper.build(2)->evacuated.size());
+    keeper.onEvacuationMissing("bkk-lat");
+    m_clock.advance(CatalogueKeeper::kEvacuationGrace);
+    keeper.tick();
+    CPPUNIT_ASSERT(keeper.isChanged());
+    CPPUNIT_ASSERT(keeper.build(3)->evacuated.empty());
+  }
+
 private:
   static PublishedItem item(const std::string& aKey,
                             const std::string& aValue,
