The project's own interface follows a platform that returned from a copy

Callers: rules published after the platform's service had returned from a copy were not in force until its revision had passed the highest one seen.

The answers may state an epoch, with which revisions rise though the platform's go back. A text that the node has replaced before isn't taken back at such a return: the held one stays under the new revision. A watch whose revision is of an earlier epoch is followed by a read of the whole text.

--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -4,6 +4,7 @@
 
 #include <xxhash.h>
 
+#include "epoch_revision_p.h"
 #include "line_delta_p.h"
 #include "log_p.h"
 
@@ -15,6 +16,9 @@
 /// Revisions kept for deltas. A peer that is further behind gets the whole
 /// text; at 1,500 changes a day four revisions last for minutes.
 constexpr std::size_t kMaxHistory = 4;
+/// Hashes of replaced texts that are kept, to recognise one that the platform
+/// publishes again because it has lost the later ones.
+constexpr std::size_t kMaxReplaced = 64;
 /// Time allowed for a platform answer beyond the requested wait.
 constexpr milliseconds kAnswerTimeout{ 2000 };
 constexpr milliseconds kRoleCheckInterval{ 500 };
@@ -245,6 +249,20 @@
     return;
   }
   Revision revision{ aNumber, hashOf(aText), std::move(aText) };
+  const bool wasReplaced =
+    std::find(entry.replaced.begin(), entry.replaced.end(), revision.hash) !=
+    entry.replaced.end();
+  if (wasReplaced && epochOf(aNumber) > epochOf(entry.number())) {
+    // The platform has returned from a copy. What it lost is published again;
+    // until then the held text stays in force, under the new revision.
+    logWrite(LogLevel::Warn,
+             LogLine("config-kept")
+               .add("document", nameOf(aKind))
+               .add("revision", entry.number())
+               .add("published", aNumber));
+    revision.hash = entry.hash();
+    revision.text = entry.history.back().text;
+  }
   accept(aKind, std::move(revision), true);
 }
 
@@ -272,6 +290,12 @@
              .add("revision", aRevision.number)
              .add("bytes", aRevision.text.size())
              .add("source", aFromPlatform ? "platform" : "peer"));
+  if (!entry.history.empty() && entry.hash() != aRevision.hash) {
+    entry.replaced.push_back(entry.hash());
+    if (entry.replaced.size() > kMaxReplaced) {
+      entry.replaced.pop_front();
+    }
+  }
   entry.history.push_back(std::move(aRevision));
   if (entry.history.size() > kMaxHistory) {
     entry.history.pop_front();
--- a/src/config_sync_p.h
+++ b/src/config_sync_p.h
@@ -153,7 +153,8 @@
   };
   struct Document
   {
-    std::deque<Revision> history; ///< newest last
+    std::deque<Revision> history;       ///< newest last
+    std::deque<std::uint64_t> replaced; ///< hashes of replaced texts
     /// Highest revision from the platform that didn't parse.
     std::uint64_t refusedNumber = 0;
     /// Hash of the last document that didn't parse, from the platform or a
--- a/src/platform_http.cpp
+++ b/src/platform_http.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "epoch_revision_p.h"
 #include "http_client_p.h"
 #include "http_thread_p.h"
 #include "json_p.h"
@@ -48,13 +49,15 @@
   return host;
 }
 
-/// @returns the revision of an answer, nothing when it is malformed
+/// @returns the revision of an answer with its epoch, nothing when it is
+///          malformed
 std::optional<std::uint64_t>
 parseRevision(const Json& aBody)
 {
   const Json* revision = jsonMember(aBody, "revision");
   return revision != nullptr && revision->IsUint64()
-           ? std::optional(revision->GetUint64())
+           ? std::optional(joinRevision(jsonUnsigned(aBody, "epoch"),
+                                        revision->GetUint64()))
            : std::nullopt;
 }
 
@@ -191,12 +194,21 @@
 PlatformHttp::readRules(std::uint64_t aAfter, milliseconds aWait, OnRules aDone)
 {
   const auto wait = std::min(aWait, kMaxWait);
-  m_impl->read("/v1/config?after=" + std::to_string(aAfter) +
-                 "&wait_ms=" + std::to_string(wait.count()),
-               wait + kAnswerTimeout,
-               [done = std::move(aDone)](const ExchangeResult& aResult) {
-                 done(decodeAnswer(aResult, &parseRulesAnswer));
-               });
+  m_impl->read(
+    "/v1/config?after=" + std::to_string(numberInEpoch(aAfter)) +
+      "&epoch=" + std::to_string(epochOf(aAfter)) +
+      "&wait_ms=" + std::to_string(wait.count()),
+    wait + kAnswerTimeout,
+    [this, aAfter, done = std::move(aDone)](const ExchangeResult& aResult) {
+      auto rules = decodeAnswer(aResult, &parseRulesAnswer);
+      if (rules && rules->text.empty() && aAfter != 0 &&
+          epochOf(rules->revision) > epochOf(aAfter)) {
+        // The platform has compared its revision with one of an earlier epoch.
+        readRules(0, milliseconds(0), done);
+        return;
+      }
+      done(std::move(rules));
+    });
 }
 
 void
--- a/tests/config_sync_test.cpp
+++ b/tests/config_sync_test.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "control_fleet.h"
+#include "epoch_revision_p.h"
 #include "line_delta_p.h"
 
 using namespace toucanridge;
@@ -73,6 +74,7 @@
   CPPUNIT_TEST(restartWhileStaleKeepsRevision);
   CPPUNIT_TEST(restartWhileDownLearnsFromSeeds);
   CPPUNIT_TEST(staleReaderIsIgnored);
+  CPPUNIT_TEST(keepsRulesThatThePlatformLost);
   CPPUNIT_TEST(nodeWithoutPeersWaitsJoinTime);
   CPPUNIT_TEST(startingPeersDoNotVouch);
   CPPUNIT_TEST(twoQuickRevisions);
@@ -122,6 +124,37 @@
     }));
   }
 
+  // Guards against a return to older rules when the platform has lost the
+  // latest ones and publishes a copy in a new epoch, and against nodes that
+  // don't take the next rules.
+  void keepsRulesThatThePlatformLost()
+  {
+    ControlFleet fleet(33);
+    fleet.start(8, 4);
+    fleet.run(seconds(5));
+    const std::string first = fleet.platform.rules;
+    const auto lease = [](auto& aMember) {
+      return aMember.core.config().rules()->rights.lease;
+    };
+    const Duration usual = lease(*fleet.members.begin()->second);
+    fleet.publish(fleetRules(4, "second", "4s"));
+    fleet.run(seconds(10));
+    CPPUNIT_ASSERT(
+      fleet.all([&](auto& aMember) { return lease(aMember) > usual; }));
+    fleet.platform.rules = first;
+    fleet.platform.rulesRevision = joinRevision(1, 1);
+    for (int i = 0; i < 100; ++i) {
+      fleet.run(milliseconds(100));
+      CPPUNIT_ASSERT(
+        fleet.all([&](auto& aMember) { return lease(aMember) > usual; }));
+    }
+    fleet.publish(fleetRules(4, "third", "5s"));
+    const Duration taken = fleet.runUntil(kChangeLimit, [&](auto& aMember) {
+      return lease(aMember) == seconds(5);
+    });
+    CPPUNIT_ASSERT(taken < kChangeLimit);
+  }
+
   // Guards against a node that can't start while the platform is down.
   void restartWhileDownLearnsFromSeeds()
   {
