--- a/tests/published_items_test.cpp
+++ b/tests/published_items_test.cpp
@@ -3,6 +3,7 @@
 #include <random>
 
 #include "catalogue_keeper_p.h"
+#include "epoch_revision_p.h"
 #include "published_items_p.h"
 
 using namespace toucanridge;
@@ -34,6 +35,7 @@
   CPPUNIT_TEST(neverGoesBack);
   CPPUNIT_TEST(wholeListingDropsWhatIsGone);
   CPPUNIT_TEST(copiesConverge);
+  CPPUNIT_TEST(copyOfAnEarlierEpochIsReplacedWhole);
   CPPUNIT_TEST(keepsLaterValueThatThePlatformLost);
   CPPUNIT_TEST(getsLaterValueFromPeerAtTheSameRevision);
   CPPUNIT_TEST(lapsedEntryIsKeptForAMoment);
@@ -102,6 +104,29 @@
     }
   }
 
+  // Guards against a host that was cut off while the platform lost changes and
+  // that gets only the changes after a revision of the earlier epoch.
+  void copyOfAnEarlierEpochIsReplacedWhole()
+  {
+    PublishedItems cutOff(m_order);
+    cutOff.apply(changes(joinRevision(1, 80),
+                         { item("a", "1", joinRevision(1, 70)),
+                           item("b", "1", joinRevision(1, 80)) }));
+    PublishedItems peer(m_order);
+    ItemChanges whole =
+      changes(joinRevision(2, 60), { item("a", "2", joinRevision(2, 60)) });
+    whole.whole = true;
+    peer.apply(whole);
+    peer.apply(
+      changes(joinRevision(2, 61), { item("c", "1", joinRevision(2, 61)) }));
+    const ItemChanges sent = peer.changesAfter(cutOff.revision());
+    CPPUNIT_ASSERT(sent.whole);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), cutOff.apply(sent).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), cutOff.items().size());
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), cutOff.items().at("a").value);
+    CPPUNIT_ASSERT(peer.apply(changes(joinRevision(1, 90), {})).empty());
+  }
+
   // Guards against an older value, or none, in place of the latest one after
   // the platform has lost it, and against a copy that doesn't take the next
   // value.
