--- a/src/catalogue_keeper.cpp
+++ b/src/catalogue_keeper.cpp
@@ -55,7 +55,8 @@
 }
 
 void
-CatalogueKeeper::removed(const std::string& aKey, const BackendServer& aServer)
+CatalogueKeeper::rememberRemoved(const std::string& aKey,
+                                 const BackendServer& aServer)
 {
   m_removed[aKey] = { aServer.startedMs, aServer.sequence, m_clock.now() };
 }
@@ -67,7 +68,7 @@
   if (found == m_entries.end() || found->second.expiresAt != TimePoint()) {
     return;
   }
-  removed(aKey, found->second.server);
+  rememberRemoved(aKey, found->second.server);
   if (found->second.server.draining) {
     m_entries.erase(found);
     m_changed = true;
--- a/src/catalogue_keeper_p.h
+++ b/src/catalogue_keeper_p.h
@@ -69,7 +69,7 @@
     TimePoint at;
   };
 
-  void removed(const std::string& aKey, const BackendServer& aServer);
+  void rememberRemoved(const std::string& aKey, const BackendServer& aServer);
   bool mayBeGone(const std::string& aKey, const BackendServer& aServer) const;
 
   const ClockI& m_clock;
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -269,7 +269,7 @@
         m_clock.now(), aAnswer.requestsPerSecond, aAnswer.good)) {
     return;
   }
-  m_servers.divideStatedLimit(aEntry);
+  m_servers.updateStatedShare(aEntry);
   const StatedLimit::Sends sends = aEntry.statedLimit.takeSends();
   if (!m_limitLogLimit.allows()) {
     return;
--- a/src/rate_share.cpp
+++ b/src/rate_share.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 double
-rateShare(const RatedServer& aServer,
+rateShare(const RateLimitedServer& aServer,
           const SharingHosts& aHosts,
           const std::string& aSelf)
 {
--- a/src/rate_share_p.h
+++ b/src/rate_share_p.h
@@ -28,7 +28,7 @@
 };
 
 /// A server whose request rate is divided.
-struct RatedServer
+struct RateLimitedServer
 {
   std::string id;
   std::string dataCentre;
@@ -40,7 +40,7 @@
 /// @param[in] aSelf name of the host whose share is computed
 /// @returns requests a second, 0 when the host may send none
 double
-rateShare(const RatedServer& aServer,
+rateShare(const RateLimitedServer& aServer,
           const SharingHosts& aHosts,
           const std::string& aSelf);
 
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -67,7 +67,7 @@
 /// @returns this host's share of a rate that a server accepts, in requests a
 ///          second
 double
-ServerTable::rateShareAt(const ServerEntry& aEntry, double aPerSecond) const
+ServerTable::ownShare(const ServerEntry& aEntry, double aPerSecond) const
 {
   return rateShare({ aEntry.server.id, aEntry.server.dataCentre, aPerSecond },
                    m_sharingHosts,
@@ -75,21 +75,21 @@
 }
 
 void
-ServerTable::divideStatedLimit(ServerEntry& aEntry) const
+ServerTable::updateStatedShare(ServerEntry& aEntry) const
 {
   const TimePoint now = m_clock.now();
   if (const auto limit = aEntry.statedLimit.perSecond(now)) {
-    aEntry.statedLimit.setShare(now, rateShareAt(aEntry, *limit));
+    aEntry.statedLimit.setShare(now, ownShare(aEntry, *limit));
   }
 }
 
 void
-ServerTable::divideColdRate(ServerEntry& aEntry,
-                            const ServiceContract* aContract) const
+ServerTable::updateColdShare(ServerEntry& aEntry,
+                             const ServiceContract* aContract) const
 {
   std::optional<double> share;
   if (aContract != nullptr && aContract->coldRequestsPerSecond > 0.0) {
-    share = rateShareAt(aEntry, aContract->coldRequestsPerSecond);
+    share = ownShare(aEntry, aContract->coldRequestsPerSecond);
   }
   aEntry.coldLimit.setShare(m_clock.now(), share);
 }
@@ -134,8 +134,8 @@
     }
     const ServiceContract* contract = aRouting.service(published.service);
     entry->pool->setConnections(connectionShare(aRouting, published.service));
-    divideColdRate(*entry, contract);
-    divideStatedLimit(*entry);
+    updateColdShare(*entry, contract);
+    updateStatedShare(*entry);
     if (!published.draining &&
         aCatalogue.evacuated.count(published.dataCentre) == 0) {
       m_usable[published.service].push_back(entry);
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -58,7 +58,7 @@
     m_sharingHosts = std::move(aSharingHosts);
   }
   /// Sets this host's share of the limit that a server states.
-  void divideStatedLimit(ServerEntry& aEntry) const;
+  void updateStatedShare(ServerEntry& aEntry) const;
 
   /// Opens a connection to each server in this host's data centre that has
   /// none, unless this host has no share. To be repeated, as servers close idle
@@ -79,10 +79,10 @@
   std::size_t limitedServers() const;
 
 private:
-  double rateShareAt(const ServerEntry& aEntry, double aPerSecond) const;
+  double ownShare(const ServerEntry& aEntry, double aPerSecond) const;
   /// Sets this host's share of the rate that a server accepts while it is cold.
-  void divideColdRate(ServerEntry& aEntry,
-                      const ServiceContract* aContract) const;
+  void updateColdShare(ServerEntry& aEntry,
+                       const ServiceContract* aContract) const;
   std::size_t connectionShare(const RoutingTable& aRouting,
                               const std::string& aService) const;
 
--- a/tests/stated_limit_test.cpp
+++ b/tests/stated_limit_test.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-const RatedServer kServer{ "i-1", "dc-0", 24.0 };
+const RateLimitedServer kServer{ "i-1", "dc-0", 24.0 };
 
 /// @returns hosts spread evenly over four data centres
 SharingHosts
@@ -169,7 +169,7 @@
     constexpr int kSteps = 1200;
     const auto stepsInWindow = static_cast<std::size_t>(aWindow / kStep);
     std::mt19937 random(aSeed);
-    const RatedServer server{ "i-1", "dc-0", aRate };
+    const RateLimitedServer server{ "i-1", "dc-0", aRate };
     const SharingHosts all = makeHosts(aHosts);
     SharingHosts others = all;
     others.known.erase(others.known.begin());
