--- a/src/frame_stream.cpp
+++ b/src/frame_stream.cpp
@@ -86,8 +86,15 @@
         }
       });
       m_socket.async_connect(
-        aEndpoint, [this, self](const boost::system::error_code& aError) {
+        aEndpoint,
+        [this, self, aEndpoint](const boost::system::error_code& aError) {
           if (aError) {
+            if (!m_closed) {
+              logWrite(LogLevel::Info,
+                       LogLine("connect-failed")
+                         .add("address", aEndpoint)
+                         .addText("error", aError.message()));
+            }
             closeNow("connect-failed");
           } else if (!m_closed) {
             m_timer.cancel();
