A starting host fetches its configuration where peers listen

Cause: the digest in a ping was taken to come from the address to fetch from. A host without a host list fetched there, waited 2 s and took the next ping, mostly of the same peer.

Change: digests come with the listed address of their sender, or the source of an answer to a ping of this host, or none; without one nothing is fetched. startFetchesWherePeersListen failed before (2 fetches to the source of a ping).

--- a/src/config_sync.cpp
+++ b/src/config_sync.cpp
@@ -376,7 +376,8 @@
                .add("revision", aNumber)
                .add("peer", aHost));
   }
-  if (aNumber <= entry.number() || aHash == entry.refusedHash) {
+  if (aNumber <= entry.number() || aHash == entry.refusedHash ||
+      aAddress.port == 0) {
     return;
   }
   if (entry.fetch.host.empty() ||
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -534,6 +534,9 @@
                         const PeerAddress& aAddress,
                         std::uint64_t aBaseRevision)
 {
+  if (aAddress.port == 0) {
+    return; // unknown yet
+  }
   const TimePoint now = m_clock.now();
   const bool delayed = m_items.revision() != 0 &&
                        (m_isReader || !m_roster.isInSameDataCentre(aHost));
--- a/src/membership_message.cpp
+++ b/src/membership_message.cpp
@@ -121,6 +121,20 @@
   }
 }
 
+/// @returns where the sender of a message accepts connections, port 0 when that
+///          is unknown: the source of a ping may be translated on the way
+PeerAddress
+Membership::listeningAddress(const Gossip& aMessage,
+                             const PeerAddress& aFrom) const
+{
+  const auto member = m_members.find(aMessage.from);
+  if (member != m_members.end()) {
+    return { member->second.host.address, member->second.host.peerPort };
+  }
+  // An answer comes from the address that was pinged.
+  return aMessage.kind == GossipKind::Ack ? aFrom : PeerAddress();
+}
+
 void
 Membership::onDatagram(const PeerAddress& aFrom, std::string_view aBytes)
 {
@@ -158,7 +172,8 @@
     m_broadcaster.onReceived(item);
   }
   if (!relayed) {
-    m_local.onDigest(message->from, aFrom, message->digest);
+    m_local.onDigest(
+      message->from, listeningAddress(*message, aFrom), message->digest);
   }
   if (message->kind == GossipKind::Ping) {
     Gossip ack = makeMessage(GossipKind::Ack, message->sequence, message->from);
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -39,6 +39,8 @@
   virtual PeerState state() const = 0;
   virtual ConfigDigest digest() const = 0;
   virtual std::uint32_t load() const = 0;
+  /// @param[in] aAddress where the peer accepts connections, port 0 when that
+  ///            is unknown
   virtual void onDigest(const std::string& aHost,
                         const PeerAddress& aAddress,
                         const ConfigDigest& aDigest) = 0;
@@ -199,6 +201,8 @@
                      const std::string& aTo) const;
   void send(const PeerAddress& aTo, Gossip aMessage, bool aAttach);
   void attach(Gossip& aMessage);
+  PeerAddress listeningAddress(const Gossip& aMessage,
+                               const PeerAddress& aFrom) const;
   void attachUnavailable(Gossip& aMessage) const;
   void startProbe(const Member& aMember, bool aForLease);
   void requestIndirectPings(const Probe& aProbe);
--- a/tests/config_sync_test.cpp
+++ b/tests/config_sync_test.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST_SUITE(ConfigSyncTest);
   CPPUNIT_TEST(restartWhileStaleKeepsRevision);
   CPPUNIT_TEST(restartWhileDownLearnsFromSeeds);
+  CPPUNIT_TEST(startFetchesWherePeersListen);
   CPPUNIT_TEST(staleReaderIsIgnored);
   CPPUNIT_TEST(keepsRulesThatThePlatformLost);
   CPPUNIT_TEST(nodeWithoutPeersWaitsJoinTime);
@@ -175,6 +176,29 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), started.views.front().hosts);
   }
 
+  // Guards against a node that starts while the platform is down and fetches
+  // from the source address of a ping, where nothing listens.
+  void startFetchesWherePeersListen()
+  {
+    ControlFleet fleet(34);
+    fleet.start(8, 4);
+    fleet.run(seconds(5));
+    fleet.platform.down = true;
+    fleet.kill("host-1");
+    fleet.run(seconds(1));
+    auto& started = fleet.launch("host-1", { "host-2", "host-3" });
+    Gossip ping;
+    ping.kind = GossipKind::Ping;
+    ping.from = "host-5";
+    ping.to = "host-1";
+    ping.digest = { 9, 9, 9, 9 };
+    started.core.membership().onDatagram({ "host-5", 40000 }, encode(ping));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                         started.core.config().counters().fetches);
+    fleet.run(seconds(1));
+    CPPUNIT_ASSERT(started.core.config().heldRevisions().rules > 0);
+  }
+
   // Guards against a reader that accepts a lower revision from a stale platform
   // and passes it on to its peers.
   void staleReaderIsIgnored()
