--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -542,6 +542,9 @@
                        (m_isReader || !m_roster.isInSameDataCentre(aHost));
   if (m_nextFetchAt == TimePoint() && delayed) {
     m_nextFetchAt = now + kFetchDelay;
+    logWrite(
+      LogLevel::Info,
+      LogLine("peer-ahead").add("peer", aHost).add("have", m_items.revision()));
     return;
   }
   if (now < m_nextFetchAt) {
@@ -550,6 +553,9 @@
   if (delayed && now - m_nextFetchAt > kFetchRetryInterval) {
     // The scheduled time belongs to an earlier change.
     m_nextFetchAt = now + kFetchDelay;
+    logWrite(
+      LogLevel::Info,
+      LogLine("peer-ahead").add("peer", aHost).add("have", m_items.revision()));
     return;
   }
   m_nextFetchAt = now + kFetchRetryInterval;
