--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -37,14 +37,6 @@
 /// gets the items from its peers.
 constexpr std::size_t kReaderFanOut = 8;
 constexpr std::size_t kFollowerFanOut = 2;
-/// Delay between learning that a peer has a newer revision and fetching from
-/// it: the platform or a peer in this data centre usually delivers the change
-/// first. No delay applies to a host without items, nor to a follower that
-/// fetches from a peer in its own data centre.
-constexpr milliseconds kFetchDelay{ 200 };
-/// Time after a fetch before the next one if no reply arrives. A scheduled
-/// fetch time that is older than this belongs to an earlier change.
-constexpr milliseconds kFetchRetryInterval{ 1000 };
 
 /// With these times, hosts that don't answer are removed from the directory
 /// after a second; a caller loses a second on each unreachable host that it
@@ -110,6 +102,7 @@
   , m_timer(aContext)
   , m_started(aClock.now())
   , m_items(aAdapter.decoder)
+  , m_fetchSchedule(aClock)
   , m_catalogueKeeper(aClock)
 {
   m_roster.setSeeds(aSettings.seeds);
@@ -148,7 +141,7 @@
       if (changes) {
         applyItems(*changes, aHost.c_str());
         m_adapter.source.skipTo(m_items.revision());
-        m_nextFetchAt = TimePoint();
+        m_fetchSchedule.onReply();
       }
     };
     handlers.onLost = [this](const std::string& aHost,
@@ -489,6 +482,12 @@
   return state;
 }
 
+ItemsState
+EntryControl::itemsState() const
+{
+  return { m_items.revision(), m_routing ? m_routing->version() : 0 };
+}
+
 ConfigDigest
 EntryControl::digest() const
 {
@@ -518,55 +517,42 @@
   revision = aDigest.rules;
   m_peerReadsFail[aHost] = aDigest.hosts != 0;
   m_roster.onProbeAnswered(aHost);
-  // After the platform has lost changes, a peer may hold a later configuration
-  // than the platform and this host; only a whole copy contains it.
-  const bool laterRouting =
-    m_routing && aDigest.hostsHash > m_routing->version();
-  if (laterRouting && aDigest.rules <= m_items.revision()) {
-    fetchFrom(aHost, aAddress, 0);
-  } else if (aDigest.rules > m_items.revision()) {
-    fetchFrom(aHost, aAddress, m_items.revision());
-  }
-}
-
-void
-EntryControl::fetchFrom(const std::string& aHost,
-                        const PeerAddress& aAddress,
-                        std::uint64_t aBaseRevision)
-{
-  if (aAddress.port == 0) {
-    return; // unknown yet
+  const ItemsState peerState{ aDigest.rules, aDigest.hostsHash };
+  if (aAddress.port == 0 || !isAhead(peerState, itemsState())) {
+    return;
   }
-  const TimePoint now = m_clock.now();
+  // No delay applies to a host without items, nor to a follower that fetches
+  // from a peer in its own data centre.
   const bool delayed = m_items.revision() != 0 &&
                        (m_isReader || !m_roster.isInSameDataCentre(aHost));
-  if (m_nextFetchAt == TimePoint() && delayed) {
-    m_nextFetchAt = now + kFetchDelay;
+  if (m_fetchSchedule.onPeerAhead({ aHost, aAddress, peerState }, delayed)) {
     logWrite(
       LogLevel::Info,
       LogLine("peer-ahead").add("peer", aHost).add("have", m_items.revision()));
-    return;
   }
-  if (now < m_nextFetchAt) {
-    return;
-  }
-  if (delayed && now - m_nextFetchAt > kFetchRetryInterval) {
-    // The scheduled time belongs to an earlier change.
-    m_nextFetchAt = now + kFetchDelay;
-    logWrite(
-      LogLevel::Info,
-      LogLine("peer-ahead").add("peer", aHost).add("have", m_items.revision()));
+  fetchIfDue();
+}
+
+/// Sends the fetch from a peer that is due, if any.
+void
+EntryControl::fetchIfDue()
+{
+  const ItemsState held = itemsState();
+  const auto peer = m_fetchSchedule.takeDue(held);
+  if (!peer) {
     return;
   }
-  m_nextFetchAt = now + kFetchRetryInterval;
+  // After the platform has lost changes, a peer may hold a later configuration
+  // than the platform and this host; only a whole copy contains it.
   ItemsFetch fetch;
-  fetch.baseRevision = aBaseRevision;
-  logWrite(
-    LogLevel::Info,
-    LogLine("items-fetch").add("peer", aHost).add("have", fetch.baseRevision));
-  m_links.send(aHost,
-               aAddress.address,
-               aAddress.port,
+  fetch.baseRevision = peer->state.revision > held.revision ? held.revision : 0;
+  logWrite(LogLevel::Info,
+           LogLine("items-fetch")
+             .add("peer", peer->host)
+             .add("have", fetch.baseRevision));
+  m_links.send(peer->host,
+               peer->address.address,
+               peer->address.port,
                MessageType::ItemsFetch,
                encode(fetch),
                0);
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -19,6 +19,7 @@
 #include "broadcaster_p.h"
 #include "catalogue_keeper_p.h"
 #include "entry_settings_p.h"
+#include "fetch_schedule_p.h"
 #include "gossip_socket_p.h"
 #include "http_server_p.h"
 #include "membership_p.h"
@@ -90,11 +91,8 @@
   std::vector<Host> servingHosts() const;
   std::vector<Host> entryHosts() const;
   HttpResponse makeAddressesResponse() const;
-  /// @param[in] aBaseRevision revision after which changes are wanted; 0: all
-  ///            items
-  void fetchFrom(const std::string& aHost,
-                 const PeerAddress& aAddress,
-                 std::uint64_t aBaseRevision);
+  ItemsState itemsState() const;
+  void fetchIfDue();
   void onPeerRequest(const std::string& aPayload,
                      const PeerLinks::Reply& aReply);
 
@@ -119,6 +117,7 @@
   std::map<std::string, bool> m_peerReadsFail;
 
   PublishedItems m_items;
+  FetchSchedule m_fetchSchedule; ///< of fetches from peers
   CatalogueKeeper m_catalogueKeeper;
   std::shared_ptr<const RoutingTable> m_routing;
   std::shared_ptr<const ServerCatalogue> m_catalogue;
@@ -129,7 +128,6 @@
   std::map<std::string, std::size_t> m_shardServerCounts;
   /// Revisions of the peers' items, by host; 0 for one that doesn't serve.
   std::map<std::string, std::uint64_t> m_peerRevisions;
-  TimePoint m_nextFetchAt; ///< earliest time of the next fetch from a peer
   bool m_leaving = false;
 };
 
--- /dev/null
+++ b/src/fetch_schedule_p.h
@@ -0,0 +1,75 @@
+#ifndef TOUCANRIDGE_FETCH_SCHEDULE_P_H
+#define TOUCANRIDGE_FETCH_SCHEDULE_P_H
+
+/// Decides when a host fetches published items from a peer, and from which.
+/// Answers the load of a fleet in several data centres, where digests from
+/// another data centre reach a host rarely.
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "clock_p.h"
+#include "gossip_wire_p.h"
+
+namespace toucanridge {
+
+/// How far a copy of the items has got.
+struct ItemsState
+{
+  std::uint64_t revision = 0;
+  std::uint64_t version = 0; ///< of the configuration in force
+};
+
+/// @returns true when a peer's copy has items which this host's copy lacks.
+/// Both
+///          tests are needed: after the platform has lost changes, a peer at an
+///          earlier revision may hold a later configuration.
+constexpr bool
+isAhead(const ItemsState& aPeer, const ItemsState& aHeld)
+{
+  return aPeer.revision > aHeld.revision ||
+         (aHeld.version != 0 && aPeer.version > aHeld.version);
+}
+
+/// A peer and the state of its copy according to its latest digest.
+struct ItemsPeer
+{
+  std::string host;
+  PeerAddress address;
+  ItemsState state;
+};
+
+class FetchSchedule
+{
+public:
+  /// Delay between learning that a peer has a newer revision and fetching from
+  /// it: the platform or a peer in this data centre usually delivers the change
+  /// first.
+  static constexpr std::chrono::milliseconds kFetchDelay{ 200 };
+  /// Time after a fetch before the next one if no reply arrives.
+  static constexpr std::chrono::milliseconds kRetryInterval{ 1000 };
+
+  explicit FetchSchedule(const ClockI& aClock);
+
+  /// Takes note of a peer that holds items which this host lacks.
+  /// @param[in] aDelayed whether to wait for kFetchDelay
+  /// @returns true when this starts the wait
+  bool onPeerAhead(const ItemsPeer& aPeer, bool aDelayed);
+  /// A peer has replied to a fetch.
+  void onReply();
+  /// @param[in] aHeld the state of this host's copy
+  /// @returns the peer from which to fetch now, or nothing
+  std::optional<ItemsPeer> takeDue(const ItemsState& aHeld);
+
+private:
+  const ClockI& m_clock;
+  std::optional<ItemsPeer> m_peer; ///< heard of by the latest digest
+  TimePoint m_nextFetchAt; ///< earliest time of the next fetch from a peer
+  bool m_delayed = false;
+};
+
+} // namespace toucanridge
+
+#endif // TOUCANRIDGE_FETCH_SCHEDULE_P_H
