A host fetches later items after one digest from another data centre

Callers got the answers of an older configuration 5 s after a change was acknowledged, where the platform had stopped answering the readers of their data centre. Hosts heard of the change (peer-ahead lines) and waited for a further digest within a second, which in a large fleet doesn't come. Now the fetch falls due on the control thread's tick; a neighbour's digest isn't delayed by that of another data centre, and a fetch without a reply is repeated.

The three tests of FetchSchedule that failed pass.

--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -141,7 +141,7 @@
       if (changes) {
         applyItems(*changes, aHost.c_str());
         m_adapter.source.skipTo(m_items.revision());
-        m_fetchSchedule.onReply();
+        m_fetchSchedule.onReply(aHost);
       }
     };
     handlers.onLost = [this](const std::string& aHost,
@@ -207,6 +207,7 @@
   }
   updateReaderRole();
   m_membership.tick();
+  fetchIfDue();
   m_catalogueKeeper.tick();
   const bool due = m_clock.now() >= m_nextPublishAt;
   if (m_catalogueKeeper.isChanged() || m_servingPeersChanged ||
--- a/src/fetch_schedule.cpp
+++ b/src/fetch_schedule.cpp
@@ -1,5 +1,7 @@
 #include "fetch_schedule_p.h"
 
+#include <algorithm>
+
 namespace toucanridge {
 
 FetchSchedule::FetchSchedule(const ClockI& aClock)
@@ -11,35 +13,35 @@
 FetchSchedule::onPeerAhead(const ItemsPeer& aPeer, bool aDelayed)
 {
   const TimePoint now = m_clock.now();
-  // A scheduled time that is older than kRetryInterval belongs to an earlier
-  // change.
-  const bool starts =
-    aDelayed && (m_nextFetchAt == TimePoint() ||
-                 now - m_nextFetchAt > Duration(kRetryInterval));
-  if (starts) {
-    m_nextFetchAt = now + kFetchDelay;
-  }
+  const bool starts = !m_peer;
+  const TimePoint dueAt = aDelayed ? now + kFetchDelay : now;
+  m_dueAt = starts ? dueAt : std::min(m_dueAt, dueAt);
   m_peer = aPeer;
-  return starts;
+  return starts && aDelayed;
 }
 
 void
-FetchSchedule::onReply()
+FetchSchedule::onReply(const std::string& aHost)
 {
-  m_nextFetchAt = TimePoint();
+  m_retryAt = TimePoint();
+  if (m_peer && m_peer->host == aHost) {
+    m_peer.reset(); // the reply holds all that this peer has
+  }
 }
 
 std::optional<ItemsPeer>
-FetchSchedule::takeDue(const ItemsState& /*aHeld*/)
+FetchSchedule::takeDue(const ItemsState& aHeld)
 {
+  if (m_peer && !isAhead(m_peer->state, aHeld)) {
+    m_peer.reset();
+  }
   const TimePoint now = m_clock.now();
-  std::optional<ItemsPeer> due;
-  if (m_peer && now >= m_nextFetchAt) {
-    due = m_peer;
-    m_nextFetchAt = now + kRetryInterval;
+  if (!m_peer || now < std::max(m_dueAt, m_retryAt)) {
+    return std::nullopt;
   }
-  m_peer.reset();
-  return due;
+  // The peer stays noted until its items have arrived: the reply may be lost.
+  m_retryAt = now + kRetryInterval;
+  return m_peer;
 }
 
 } // namespace toucanridge
--- a/src/fetch_schedule_p.h
+++ b/src/fetch_schedule_p.h
@@ -46,28 +46,30 @@
 public:
   /// Delay between learning that a peer has a newer revision and fetching from
   /// it: the platform or a peer in this data centre usually delivers the change
-  /// first.
-  static constexpr std::chrono::milliseconds kFetchDelay{ 200 };
+  /// first. The platform's changes are read every 200 ms at most and take some
+  /// 150 ms to reach all hosts of a data centre.
+  static constexpr std::chrono::milliseconds kFetchDelay{ 400 };
   /// Time after a fetch before the next one if no reply arrives.
   static constexpr std::chrono::milliseconds kRetryInterval{ 1000 };
 
   explicit FetchSchedule(const ClockI& aClock);
 
-  /// Takes note of a peer that holds items which this host lacks.
+  /// Schedules a fetch from a peer that holds items which this host lacks. The
+  /// latest such peer replaces earlier ones.
   /// @param[in] aDelayed whether to wait for kFetchDelay
   /// @returns true when this starts the wait
   bool onPeerAhead(const ItemsPeer& aPeer, bool aDelayed);
   /// A peer has replied to a fetch.
-  void onReply();
+  void onReply(const std::string& aHost);
   /// @param[in] aHeld the state of this host's copy
   /// @returns the peer from which to fetch now, or nothing
   std::optional<ItemsPeer> takeDue(const ItemsState& aHeld);
 
 private:
   const ClockI& m_clock;
-  std::optional<ItemsPeer> m_peer; ///< heard of by the latest digest
-  TimePoint m_nextFetchAt; ///< earliest time of the next fetch from a peer
-  bool m_delayed = false;
+  std::optional<ItemsPeer> m_peer; ///< named by the latest digest
+  TimePoint m_dueAt;               ///< of the fetch from m_peer
+  TimePoint m_retryAt;             ///< while a fetch has no reply
 };
 
 } // namespace toucanridge
