Substitutes for a reader without an answer start at once

With the store silent to the readers of all data centres, no host read it for 6 s, and callers got the answers of the older configuration. The next host in the order hears that a reader fails from that reader's regular digests only, after seconds among 20 hosts, and then needs 3.4 s to find out whether it is answered itself.

A reader whose reads begin to fail now probes its substitutes. Each failing reader has two substitutes in place of one, seven in a data centre at most in place of two: with most hosts refused, a search one by one takes longer than a change may take to be in force. A substitute's first watch doesn't wait, and its repeats back off further, so that a store that is down isn't called more often.

oneReaderUnlessReadsFail states the new numbers. It used to mark readers as failing while it looped over them, which with more substitutes marks these too; it now marks the one reader first, as it says.

--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -221,6 +221,7 @@
 EntryControl::updateReaderRole()
 {
   std::vector<ReaderCandidate> candidates;
+  std::vector<std::string> neighbours;
   for (const Host& host : m_roster.list().hosts) {
     const auto readsFail = m_peerReadsFail.find(host.name);
     if (host.name != m_settings.host &&
@@ -228,15 +229,27 @@
         m_membership.isAlive(host.name)) {
       candidates.push_back(
         { host.name, readsFail != m_peerReadsFail.end() && readsFail->second });
+      neighbours.push_back(host.name);
     }
   }
   const bool joining = m_clock.now() - m_started < kPeerDiscoveryTime;
-  const bool reads = !joining && isReader(candidates, m_settings.host);
+  const ReadRole role =
+    joining ? ReadRole::Follower : chooseReadRole(candidates, m_settings.host);
+  const bool reads = role != ReadRole::Follower;
   if (reads != m_isReader) {
     m_isReader = reads;
     logWrite(LogLevel::Info, LogLine("reader-role").add("reads", reads));
   }
-  m_adapter.source.setReading(reads);
+  m_adapter.source.setRole(role);
+  const bool readsFail = digest().hosts != 0;
+  if (readsFail != m_announcedReadsFail) {
+    // Regular digests reach a given neighbour after seconds only.
+    m_announcedReadsFail = readsFail;
+    for (const std::string& host :
+         substituteReaders(std::move(neighbours), m_settings.host)) {
+      m_membership.probeNow(host);
+    }
+  }
 }
 
 bool
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -113,6 +113,8 @@
   boost::asio::steady_timer m_timer;
   const TimePoint m_started;
   bool m_isReader = false; ///< this host reads the platform
+  /// Whether its reads fail, as announced to its substitutes.
+  bool m_announcedReadsFail = false;
   /// Whether a peer's reads of the platform fail, by host.
   std::map<std::string, bool> m_peerReadsFail;
 
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -130,6 +130,8 @@
   void onDatagram(const PeerAddress& aFrom, std::string_view aBytes);
   /// Probes a host at once because traffic failed to reach it.
   void onFailureHint(const std::string& aHost);
+  /// Probes a member at once, to pass on this node's digest.
+  void probeNow(const std::string& aHost);
   /// Announces that this host is leaving.
   void leave();
   /// Probes random live members at once, to spread recent changes.
--- a/src/membership_probe.cpp
+++ b/src/membership_probe.cpp
@@ -302,6 +302,15 @@
   send(ping.requesterAddress, std::move(reply), false);
 }
 
+void
+Membership::probeNow(const std::string& aHost)
+{
+  const auto found = m_members.find(aHost);
+  if (found != m_members.end()) {
+    startProbe(found->second, false);
+  }
+}
+
 void
 Membership::onFailureHint(const std::string& aHost)
 {
--- a/src/published_source_p.h
+++ b/src/published_source_p.h
@@ -14,6 +14,7 @@
 #include "clock_p.h"
 #include "http_message_p.h"
 #include "published_items_p.h"
+#include "reader_choice_p.h"
 #include "routing_p.h"
 
 namespace toucanridge {
@@ -33,9 +34,9 @@
   virtual ~PublishedSourceI() = default;
   virtual void start(PublishedListenerI& aListener) = 0;
   virtual void stop() = 0;
-  /// Sets whether this host reads the platform itself. Other hosts get the
-  /// items from their peers.
-  virtual void setReading(bool aReading) = 0;
+  /// Sets whether this host reads the platform itself. A substitute repeats
+  /// calls without an answer less often.
+  virtual void setRole(ReadRole aRole) = 0;
   /// Skips the changes up to a revision that this host has got from a peer.
   virtual void skipTo(std::uint64_t aRevision) = 0;
   /// @returns true when the last call to the platform got no answer or was
--- a/src/reader_choice.cpp
+++ b/src/reader_choice.cpp
@@ -10,8 +10,11 @@
 /// When a reader stops receiving changes without an error, they still arrive
 /// through the readers of other data centres.
 constexpr std::size_t kReadersPerDataCentre = 1;
-/// Limit for readers added in place of those that the platform doesn't answer.
-constexpr std::size_t kMaxExtraReaders = 2;
+/// Substitutes for each reader that the platform doesn't answer. Each needs
+/// about a second to find out whether it is answered, so with one at a time the
+/// search would take longer than a change may take to be in force.
+constexpr std::size_t kSubstitutesPerFailing = 2;
+constexpr std::size_t kMaxSubstitutes = 7;
 constexpr std::uint64_t kReaderSeed = 0x72656164;
 
 /// Rank in rendezvous hashing; hosts with the lowest ranks read.
@@ -23,9 +26,9 @@
 
 } // namespace
 
-bool
-isReader(const std::vector<ReaderCandidate>& aCandidates,
-         const std::string& aHost)
+ReadRole
+chooseReadRole(const std::vector<ReaderCandidate>& aCandidates,
+               const std::string& aHost)
 {
   const std::uint64_t own = rankOf(aHost);
   std::size_t rankedBefore = 0;
@@ -36,8 +39,33 @@
       failing += candidate.readsFail ? 1 : 0;
     }
   }
-  return rankedBefore <
-         kReadersPerDataCentre + std::min(failing, kMaxExtraReaders);
+  if (rankedBefore < kReadersPerDataCentre) {
+    return ReadRole::Reader;
+  }
+  const std::size_t substitutes =
+    std::min(kSubstitutesPerFailing * failing, kMaxSubstitutes);
+  return rankedBefore < kReadersPerDataCentre + substitutes
+           ? ReadRole::Substitute
+           : ReadRole::Follower;
+}
+
+std::vector<std::string>
+substituteReaders(std::vector<std::string> aHosts, const std::string& aReader)
+{
+  const std::uint64_t own = rankOf(aReader);
+  aHosts.erase(std::remove_if(aHosts.begin(),
+                              aHosts.end(),
+                              [&](const std::string& aHost) {
+                                return aHost == aReader || rankOf(aHost) < own;
+                              }),
+               aHosts.end());
+  std::sort(aHosts.begin(),
+            aHosts.end(),
+            [](const std::string& aOne, const std::string& aOther) {
+              return rankOf(aOne) < rankOf(aOther);
+            });
+  aHosts.resize(std::min(aHosts.size(), kMaxSubstitutes));
+  return aHosts;
 }
 
 } // namespace toucanridge
--- a/tests/entry_choice_test.cpp
+++ b/tests/entry_choice_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(lossChangesOneHost);
   CPPUNIT_TEST(choosesAnyHostWhenFewAreLeft);
   CPPUNIT_TEST(oneReaderUnlessReadsFail);
+  CPPUNIT_TEST(failingReaderKnowsItsSubstitutes);
   CPPUNIT_TEST(relaysCoverRemoteShards);
   CPPUNIT_TEST(asksDirectlyWithoutPeers);
   CPPUNIT_TEST(bitsKeepPositions);
@@ -85,14 +86,41 @@
       hosts.push_back({ "host-" + std::to_string(i), false });
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), countReaders(hosts));
-    for (ReaderCandidate& host : hosts) {
-      host.readsFail = isReader(hosts, host.host);
-    }
-    CPPUNIT_ASSERT_EQUAL(std::size_t(2), countReaders(hosts));
+    const auto reader =
+      std::find_if(hosts.begin(), hosts.end(), [&](const auto& aHost) {
+        return reads(hosts, aHost.host);
+      });
+    reader->readsFail = true;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), countReaders(hosts));
     for (ReaderCandidate& host : hosts) {
       host.readsFail = true;
     }
-    CPPUNIT_ASSERT_EQUAL(std::size_t(3), countReaders(hosts));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), countReaders(hosts));
+  }
+
+  // Guards against substitutes that hear of a failing reader only from its next
+  // regular digest.
+  void failingReaderKnowsItsSubstitutes()
+  {
+    std::vector<ReaderCandidate> hosts;
+    std::vector<std::string> names;
+    for (int i = 0; i < 14; ++i) {
+      names.push_back("host-" + std::to_string(i));
+      hosts.push_back({ names.back(), false });
+    }
+    const auto reader =
+      std::find_if(hosts.begin(), hosts.end(), [&](const auto& aHost) {
+        return reads(hosts, aHost.host);
+      });
+    const auto told = substituteReaders(names, reader->host);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(7), told.size());
+    reader->readsFail = true;
+    for (const ReaderCandidate& host : hosts) {
+      const auto position = std::find(told.begin(), told.end(), host.host);
+      const bool nextTwo = position < told.begin() + 2;
+      CPPUNIT_ASSERT_EQUAL(nextTwo || host.host == reader->host,
+                           reads(hosts, host.host));
+    }
   }
 
   // Guards against a plan in which a shard is asked by no host or by two hosts,
@@ -137,6 +165,12 @@
   }
 
 private:
+  static bool reads(const std::vector<ReaderCandidate>& aHosts,
+                    const std::string& aHost)
+  {
+    return chooseReadRole(aHosts, aHost) != ReadRole::Follower;
+  }
+
   static EntryChoiceInput fleet(std::size_t aCentres, std::size_t aHosts)
   {
     EntryChoiceInput input;
@@ -162,7 +196,7 @@
   {
     return static_cast<std::size_t>(std::count_if(
       aHosts.begin(), aHosts.end(), [&](const ReaderCandidate& aHost) {
-        return isReader(aHosts, aHost.host);
+        return reads(aHosts, aHost.host);
       }));
   }
 };
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -45,6 +45,7 @@
 {
   CPPUNIT_TEST_SUITE(PlatformStoreTest);
   CPPUNIT_TEST(readsOnAfterAnUnexpectedError);
+  CPPUNIT_TEST(noticesASilentStoreSoonAfterItStartsToRead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -67,7 +68,7 @@
     const auto limit = steady_clock::now() + std::chrono::seconds(5);
     bool changed = false;
     const std::function<void()> onTick = [&] {
-      client.setReading(true);
+      client.setRole(ReadRole::Reader);
       if (!changed && listener.calls() > 0) {
         changed = true;
         store.put("op/config", "second");
@@ -84,6 +85,30 @@
     runHandlers(context, "test");
     CPPUNIT_ASSERT(listener.revision() > 0);
   }
+
+  // Guards against a substitute that waits for seconds before it reports that
+  // the store doesn't answer it either.
+  void noticesASilentStoreSoonAfterItStartsToRead()
+  {
+    IoThread thread;
+    FakeStore store(thread, kStore, kStorePort);
+    store.setDown(true);
+    platform::Settings settings;
+    settings.storeAddress = kStore;
+    settings.storePort = kStorePort;
+    SystemClock clock;
+    boost::asio::io_context context;
+    platform::StoreClient client(context, clock, settings);
+    FailingListener listener;
+    client.start(listener);
+    client.skipTo(7); // a follower has its items from a peer
+    client.setRole(ReadRole::Substitute);
+    boost::asio::steady_timer limit(context, milliseconds(1500));
+    limit.async_wait([&](auto) { context.stop(); });
+    context.run();
+    CPPUNIT_ASSERT(client.lastCallFailed());
+    client.stop();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformStoreTest);
