A host without a path to the servers forwards its callers' requests to peers

Callers of hosts that had lost their paths to all backend servers were hardly served, though the store and the other hosts reached these hosts: each tried the servers directly until the deadline.

While it lasts the host has a peer, in its data centre if possible, answer whole requests, at a port of its own; a peer that can't says that it hasn't run the request, and another one gets it. Requests that must run once are repeated only when they weren't sent. A route whose servers refuse connections while those of others live on is forwarded likewise. Probes to three servers every 200 ms find the end. Without any path the request is refused at once.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -78,6 +78,13 @@
   m_timing->onLatency(waited);
 }
 
+void
+Attempt::reportOverdue()
+{
+  m_entry->health.onOverdue(m_clock->now());
+  m_reach->onNoAnswer(m_entry->server.id);
+}
+
 void
 Attempt::recordLatency(double aRatio)
 {
@@ -152,6 +159,24 @@
   return best == options.size() ? nullptr : aServers[options[best].index];
 }
 
+bool
+Dispatcher::canReach(const Route& aRoute, const std::string& aService) const
+{
+  if (m_servers.reach().isLost()) {
+    return false;
+  }
+  if (!aRoute.isGather()) {
+    return !m_servers.isUnreachable(aService);
+  }
+  const auto unreachable = static_cast<std::size_t>(
+    std::count_if(aRoute.shards.begin(),
+                  aRoute.shards.end(),
+                  [this](const std::string& aShard) {
+                    return m_servers.isUnreachable(aShard);
+                  }));
+  return aRoute.shards.size() - unreachable >= partsNeeded(aRoute);
+}
+
 void
 Dispatcher::onRequest(const std::string& aService)
 {
@@ -224,6 +249,7 @@
   attempt->m_clock = &m_clock;
   attempt->m_timing = &aParams.timing;
   attempt->m_losses = aParams.losses;
+  attempt->m_reach = &m_servers.reach();
   attempt->m_entry = aEntry;
   attempt->m_requestId = aParams.callerHeaders.requestId;
   attempt->m_sentAt = m_clock.now();
@@ -307,17 +333,20 @@
     case ExchangeEnd::NotSent:
       result.end = AttemptEnd::Unreachable;
       entry.health.onUnreachable(now);
+      m_servers.reach().onNoAnswer(entry.server.id);
       break;
     case ExchangeEnd::Broken:
     case ExchangeEnd::Malformed:
       result.end = AttemptEnd::Lost;
       entry.health.onFailure(now);
+      m_servers.reach().onNoAnswer(entry.server.id);
       if (aAttempt.m_losses && aResult.closedByServer) {
         aAttempt.m_losses->onLost(entry.server.id, entry.server.service);
       }
       break;
     case ExchangeEnd::Answered:
       entry.health.onResponse();
+      m_servers.reach().onContact();
       result.answer = m_protocol.readAnswer(aResult.response);
       result.response = std::move(aResult.response);
       if (!result.answer.otherServer) {
--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -98,7 +98,9 @@
   ///            zero if unknown
   void cancel(Duration aTypical = Duration(0));
   /// Records in the server's health that the attempt takes too long.
-  void reportOverdue() { m_entry->health.onOverdue(m_clock->now()); }
+  void reportOverdue();
+  /// Takes note that the server hasn't answered yet, which is not unusual.
+  void reportSilent() { m_reach->onNoAnswer(m_entry->server.id); }
   /// Records in the server's health how fast it gave a good answer.
   /// @param[in] aRatio latency divided by the typical latency of the same
   ///            request
@@ -109,6 +111,7 @@
 
   const ClockI* m_clock = nullptr;
   RouteTiming* m_timing = nullptr;
+  ServerReach* m_reach = nullptr;
   std::shared_ptr<RequestLosses> m_losses;
   ServerEntryPtr m_entry;
   HttpPendingCallPtr m_pendingCall;
@@ -155,6 +158,9 @@
   std::set<std::string> dataCentresOf(const std::string& aService) const;
   /// @returns true when this host's data centre is among dataCentresOf()
   bool isLocal(const std::string& aService) const;
+  /// @returns true when this host can reach enough services of the route for an
+  ///          answer, as far as it knows
+  bool canReach(const Route& aRoute, const std::string& aService) const;
   /// @param[in] aSharingHosts number of hosts that share the budgets equally, 0
   ///            when this host has no share
   void setSharingHosts(std::size_t aSharingHosts);
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -33,6 +33,7 @@
   settings.address = aSettings.address;
   settings.port = aSettings.callerPort;
   settings.relayPort = static_cast<std::uint16_t>(aSettings.peerPort + 1);
+  settings.forwardPort = forwardPort(aSettings.peerPort);
   settings.metricsPort = aSettings.metricsPort;
   settings.dataCentre = aSettings.dataCentre;
   settings.budget = aSettings.budget;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -206,6 +206,9 @@
     }
     m_timer.cancel();
     m_open = true;
+    if (m_settings.onConnected) {
+      m_settings.onConnected();
+    }
     boost::system::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     m_socket.set_option(
@@ -599,13 +602,19 @@
 }
 
 void
-HttpPool::retire()
+HttpPool::closeIdle()
 {
-  m_retired = true;
   const std::vector<ConnectionPtr> idle(m_idle);
   for (const ConnectionPtr& connection : idle) {
-    connection->close(ExchangeEnd::Broken, "retired");
+    connection->close(ExchangeEnd::Broken, "closed while idle");
   }
 }
 
+void
+HttpPool::retire()
+{
+  m_retired = true;
+  closeIdle();
+}
+
 } // namespace toucanridge
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -61,6 +61,8 @@
   std::chrono::milliseconds idleTime{ 20'000 };
   std::size_t headerBytes = 16384;
   std::size_t bodyBytes = 4194304;
+  /// Called when a connection was established; may be null.
+  std::function<void()> onConnected;
   /// Limits the bodies that all connections are receiving; null: no limit.
   std::shared_ptr<BufferBudget> bodyBudget;
 };
@@ -123,6 +125,8 @@
   /// Opens a connection when there is none, so that the first request needn't
   /// wait for one.
   void preconnect();
+  /// Closes the connections without a request.
+  void closeIdle();
   /// Closes idle connections; those in use close when they are done.
   void retire();
   /// @returns the number of connections, including those being opened
--- a/src/query_context_p.h
+++ b/src/query_context_p.h
@@ -11,6 +11,7 @@
 #include "admission_p.h"
 #include "answer_timing_p.h"
 #include "dispatcher_p.h"
+#include "forward_client_p.h"
 #include "http_server_p.h"
 #include "relay_client_p.h"
 #include "routing_p.h"
@@ -27,6 +28,7 @@
   const TrafficProtocolI& protocol;
   Dispatcher& dispatcher;
   RelayClient& relays;
+  ForwardClient& forwards;
   const std::string& dataCentre; ///< of this host
   TrafficMetrics& metrics;
   Quarantine& quarantine;
--- a/src/server_health.cpp
+++ b/src/server_health.cpp
@@ -77,10 +77,23 @@
   m_updatedAt = aNow;
 }
 
+void
+ServerHealth::onResponse()
+{
+  m_stalledUntil = TimePoint();
+  onConnected();
+}
+
 void
 ServerHealth::onAnswer(TimePoint aNow, double aRatio)
 {
   update(aNow, aRatio, false);
+  onConnected();
+}
+
+void
+ServerHealth::onConnected()
+{
   m_avoidFor = std::chrono::milliseconds(0);
   m_avoidUntil = TimePoint();
 }
@@ -104,6 +117,7 @@
 {
   m_avoidFor = std::clamp(m_avoidFor * 2, kMinAvoid, kMaxAvoid);
   m_avoidUntil = aNow + m_avoidFor;
+  m_unreachableAt = aNow;
 }
 
 std::size_t
--- a/src/server_health_p.h
+++ b/src/server_health_p.h
@@ -26,6 +26,7 @@
   /// failure to reach it doubles the time, up to kMaxAvoid.
   static constexpr std::chrono::milliseconds kMinAvoid{ 200 };
   static constexpr std::chrono::milliseconds kMaxAvoid{ 1600 };
+  static constexpr std::chrono::milliseconds kUnreachableTime{ 1500 };
 
   /// A server with an overdue request counts as stalled for this time, or until
   /// it responds. A server that is still paused then gets one more request.
@@ -35,7 +36,7 @@
   /// averages would show a pause only after several such requests.
   void onOverdue(TimePoint aNow) { m_stalledUntil = aNow + kStallTime; }
   /// The server sent a response, successful or not.
-  void onResponse() { m_stalledUntil = TimePoint(); }
+  void onResponse();
   /// The server answered with success.
   /// @param[in] aRatio its latency divided by the typical one
   void onAnswer(TimePoint aNow, double aRatio);
@@ -47,6 +48,15 @@
   void onFailure(TimePoint aNow);
   /// No connection to the server could be made, or nothing could be sent.
   void onUnreachable(TimePoint aNow);
+  /// A connection to the server was made.
+  void onConnected();
+  /// @returns true when the server couldn't be reached lately and hasn't been
+  ///          since. The next attempt after kUnreachableTime finds out anew.
+  bool isUnreachable(TimePoint aNow) const
+  {
+    return m_avoidFor > std::chrono::milliseconds(0) &&
+           aNow - m_unreachableAt < kUnreachableTime;
+  }
 
   /// @returns latency relative to the typical one, 1 for a normal server;
   /// higher
@@ -66,7 +76,8 @@
   double m_failures = 0.0;
   TimePoint m_updatedAt; ///< when the averages were last set
   TimePoint m_avoidUntil;
-  TimePoint m_stalledUntil; ///< unless it responds before
+  TimePoint m_unreachableAt; ///< latest failure to reach it
+  TimePoint m_stalledUntil;  ///< unless it responds before
   /// The latest avoidance time, 0 after an answer.
   std::chrono::milliseconds m_avoidFor{ 0 };
 };
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -12,6 +12,8 @@
 constexpr double kSharedConnectionsRatio = 0.9;
 /// One for a request and one for a hedge.
 constexpr std::size_t kMinConnections = 2;
+/// Servers that probeServers() connects to.
+constexpr std::size_t kProbedServers = 3;
 /// Limit of all unfinished bodies together, well below the memory of the
 /// smallest host: a faulty server may send a body without end. It holds some
 /// thousand ordinary parts.
@@ -44,6 +46,7 @@
   , m_host(std::move(aHost))
   , m_dataCentre(std::move(aDataCentre))
   , m_clientSettings(makeClientSettings())
+  , m_reach(aClock)
 {
 }
 
@@ -126,11 +129,18 @@
         servers.erase(published.id);
         continue;
       }
+      HttpClientSettings settings = m_clientSettings;
+      settings.onConnected = [this, weak = std::weak_ptr(entry)] {
+        m_reach.onContact();
+        if (const auto connected = weak.lock()) {
+          connected->health.onConnected();
+        }
+      };
       entry->pool = std::make_shared<HttpPool>(
         m_context,
         m_clock,
         boost::asio::ip::tcp::endpoint(address, published.port),
-        m_clientSettings);
+        std::move(settings));
     }
     const ServiceContract* contract = aRouting.service(published.service);
     entry->pool->setConnections(connectionShare(aRouting, published.service));
@@ -197,6 +207,38 @@
   }
 }
 
+void
+ServerTable::probeServers()
+{
+  std::vector<ServerEntryPtr> servers;
+  for (const auto& service : m_usable) {
+    servers.insert(servers.end(), service.second.begin(), service.second.end());
+  }
+  for (std::size_t i = 0; i < std::min(kProbedServers, servers.size()); ++i) {
+    servers[m_nextProbe++ % servers.size()]->pool->preconnect();
+  }
+}
+
+void
+ServerTable::closeIdleConnections()
+{
+  for (const auto& entry : m_servers) {
+    entry.second->pool->closeIdle();
+  }
+}
+
+bool
+ServerTable::isUnreachable(const std::string& aService) const
+{
+  const TimePoint now = m_clock.now();
+  const auto& servers = usable(aService);
+  return !servers.empty() &&
+         std::all_of(
+           servers.begin(), servers.end(), [now](const ServerEntryPtr& aEntry) {
+             return aEntry->health.isUnreachable(now);
+           });
+}
+
 const std::vector<ServerEntryPtr>&
 ServerTable::usable(const std::string& aService) const
 {
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -22,6 +22,7 @@
 #include "rate_share_p.h"
 #include "routing_p.h"
 #include "server_health_p.h"
+#include "server_reach_p.h"
 #include "stated_limit_p.h"
 
 namespace toucanridge {
@@ -64,6 +65,17 @@
   /// none, unless this host has no share. To be repeated, as servers close idle
   /// connections.
   void openConnections();
+  /// Opens connections to a few servers, to find out whether the path to the
+  /// servers is back.
+  void probeServers();
+  /// Closes the connections without a request. Those that a network fault has
+  /// cut off may stay silent after its end.
+  void closeIdleConnections();
+  /// @returns true when the service has servers that may get new work and this
+  ///          host reached none of them lately
+  bool isUnreachable(const std::string& aService) const;
+  ServerReach& reach() { return m_reach; }
+  const ServerReach& reach() const { return m_reach; }
   /// @returns servers of a service that may get new work
   const std::vector<ServerEntryPtr>& usable(const std::string& aService) const;
   /// @returns true for a server in this host's data centre
@@ -91,6 +103,8 @@
   const std::string m_host;
   const std::string m_dataCentre;
   const HttpClientSettings m_clientSettings;
+  ServerReach m_reach;
+  std::size_t m_nextProbe = 0; ///< position in m_servers
   SharingHosts m_sharingHosts;
   std::map<std::string, ServerEntryPtr> m_servers;             ///< by id
   std::map<std::string, std::vector<ServerEntryPtr>> m_usable; ///< by service
--- a/src/single_query.cpp
+++ b/src/single_query.cpp
@@ -137,6 +137,11 @@
     finish(makeResponse(504, "deadline passed\n"), "deadline passed");
     return;
   }
+  if (now >= m_hedgeAt) {
+    for (const AttemptPtr& attempt : m_attempts) {
+      attempt->reportSilent();
+    }
+  }
   if (m_query.route->idempotent && now >= m_hedgeAt && !send()) {
     m_hedgeAt = now + m_query.timing->hedgeDelay(*m_query.route);
   }
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "forward_query_p.h"
 #include "gather_query_p.h"
 #include "log_p.h"
 #include "single_query_p.h"
@@ -19,6 +20,18 @@
 constexpr std::chrono::milliseconds kQuarantineRetryAfter{ 5000 };
 /// Interval at which connections that servers closed are opened again.
 constexpr std::chrono::milliseconds kConnectInterval{ 1000 };
+/// Interval of checks whether the path to the servers is lost or back.
+constexpr std::chrono::milliseconds kReachInterval{ 200 };
+
+/// @returns the refusal of a forwarded request that this host can't answer
+HttpResponse
+makeNoPath(const TrafficProtocolI& aProtocol)
+{
+  HttpResponse refusal =
+    aProtocol.makeRefusal(kRetryAfter, "no path to servers");
+  refusal.set(kNoPathHeader, "1");
+  return refusal;
+}
 
 } // namespace
 
@@ -34,9 +47,16 @@
   , m_dispatcher(aClock, aSettings.seed, aProtocol, m_servers, aSettings.budget)
   , m_links(aContext, Hello{ aSettings.host, aSettings.seed })
   , m_relayClient(aClock, m_links, aSettings.host, aSettings.seed << 16U)
-  , m_deps{ aContext,     aClock,        aProtocol,
-            m_dispatcher, m_relayClient, m_settings.dataCentre,
-            m_metrics,    aQuarantine }
+  , m_forwardClient(aContext, aClock, aSettings.dataCentre)
+  , m_deps{ aContext,
+            aClock,
+            aProtocol,
+            m_dispatcher,
+            m_relayClient,
+            m_forwardClient,
+            m_settings.dataCentre,
+            m_metrics,
+            aQuarantine }
   , m_relayWorker(m_deps,
                   [this](const std::string& aRoute, std::uint64_t aGatherHash) {
                     return findRoute(aRoute, aGatherHash);
@@ -44,11 +64,16 @@
   , m_server(aContext,
              aClock,
              [this](const HttpExchangePtr& aExchange) { onRequest(aExchange); })
+  , m_forwardServer(
+      aContext,
+      aClock,
+      [this](const HttpExchangePtr& aExchange) { onForwarded(aExchange); })
   , m_pageServer(
       aContext,
       aClock,
       [this](const HttpExchangePtr& aExchange) { onPageRequest(aExchange); })
   , m_connectTimer(aContext)
+  , m_reachTimer(aContext)
   , m_random(aSettings.seed)
 {
 }
@@ -78,8 +103,11 @@
                            const std::vector<std::uint64_t>&) {
     m_relayClient.onLost(aHost);
   };
-  const std::error_code error =
+  std::error_code error =
     m_links.init(m_settings.address, m_settings.relayPort, std::move(handlers));
+  if (!error) {
+    error = m_forwardServer.init(m_settings.address, m_settings.forwardPort);
+  }
   const std::error_code pagesError =
     m_pageServer.init(m_settings.address, m_settings.metricsPort);
   if (pagesError) {
@@ -91,6 +119,7 @@
                .addText("reason", pagesError.message()));
   }
   keepConnected();
+  watchReach();
   return error ? error : m_server.init(m_settings.address, m_settings.port);
 }
 
@@ -192,10 +221,34 @@
   m_servers.openConnections();
 }
 
+void
+Traffic::watchReach()
+{
+  m_reachTimer.expires_after(kReachInterval);
+  m_reachTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      watchReach();
+    }
+  });
+  const bool isLost = m_servers.reach().isLost();
+  if (isLost != m_reachLost) {
+    m_reachLost = isLost;
+    logWrite(LogLevel::Warn,
+             LogLine(isLost ? "servers-out-of-reach" : "servers-in-reach"));
+    m_servers.closeIdleConnections();
+  }
+  if (isLost) {
+    m_servers.probeServers();
+  }
+}
+
 void
 Traffic::shutdown()
 {
   m_connectTimer.cancel();
+  m_reachTimer.cancel();
+  m_forwardClient.shutdown();
+  m_forwardServer.shutdown();
   m_links.shutdown();
   m_pageServer.shutdown();
   m_server.shutdown();
@@ -206,6 +259,7 @@
 {
   m_answerBy = aAnswerBy;
   m_server.drain();
+  m_forwardServer.drain();
 }
 
 void
@@ -226,6 +280,7 @@
   m_dispatcher.setSharingHosts(sharing.count);
   m_servers.setSharingHosts(std::move(sharing));
   m_relayClient.setPeers(aView.peers);
+  m_forwardClient.setPeers(aView.peers);
   if (!m_view.routing) {
     return;
   }
@@ -237,6 +292,7 @@
   }
   if (routingChanged) {
     m_server.setLimits(m_view.routing->limits());
+    m_forwardServer.setLimits(m_view.routing->limits());
     m_versions.push_back(m_view.routing);
     if (m_versions.size() > kVersionsKept) {
       m_versions.pop_front();
@@ -361,11 +417,37 @@
     aExchange->reply(makeResponse(404, "no route\n"));
     return;
   }
-  startQuery(aExchange, *route);
+  startQuery(aExchange, *route, false);
+}
+
+void
+Traffic::onForwarded(const HttpExchangePtr& aExchange)
+{
+  const Route* route = m_view.routing && m_view.catalogue
+                         ? matchRoute(aExchange->request())
+                         : nullptr;
+  if (route == nullptr) {
+    // The host that forwards has another version of the configuration.
+    aExchange->reply(makeNoPath(m_protocol));
+    return;
+  }
+  startQuery(aExchange, *route, true);
 }
 
 void
-Traffic::startQuery(const HttpExchangePtr& aExchange, const Route& aRoute)
+Traffic::forward(QueryContext aQuery, bool aFromPeer)
+{
+  if (aFromPeer) {
+    aQuery.exchange->reply(makeNoPath(m_protocol));
+    return;
+  }
+  std::make_shared<ForwardQuery>(m_deps, std::move(aQuery))->start();
+}
+
+void
+Traffic::startQuery(const HttpExchangePtr& aExchange,
+                    const Route& aRoute,
+                    bool aFromPeer)
 {
   RouteState& state = stateOf(aRoute);
   QueryContext query;
@@ -389,20 +471,31 @@
     refuse(query, kQuarantineRetryAfter, "quarantined", "");
     return;
   }
-  if (!aRoute.isGather()) {
-    const std::string service = state.targetChoice.next(aRoute.targets);
-    std::make_shared<SingleQuery>(m_deps, std::move(query), service)->start();
+  const std::string service =
+    aRoute.isGather() ? "" : state.targetChoice.next(aRoute.targets);
+  if (m_dispatcher.canReach(aRoute, service)) {
+    runQuery(std::move(query), service);
+  } else {
+    forward(std::move(query), aFromPeer);
+  }
+}
+
+void
+Traffic::runQuery(QueryContext aQuery, const std::string& aService)
+{
+  if (!aQuery.route->isGather()) {
+    std::make_shared<SingleQuery>(m_deps, std::move(aQuery), aService)->start();
     return;
   }
-  query.admission = admissionOf(aRoute);
-  if (query.admission->admits(
+  aQuery.admission = admissionOf(*aQuery.route);
+  if (aQuery.admission->admits(
         std::uniform_real_distribution<double>()(m_random))) {
-    std::make_shared<GatherQuery>(m_deps, std::move(query))->start();
+    std::make_shared<GatherQuery>(m_deps, std::move(aQuery))->start();
   } else {
-    refuse(query,
+    refuse(aQuery,
            kOverloadRetryAfter,
            "shards are overloaded",
-           "level " + std::to_string(query.admission->level()));
+           "level " + std::to_string(aQuery.admission->level()));
   }
 }
 
--- a/src/traffic_p.h
+++ b/src/traffic_p.h
@@ -18,6 +18,7 @@
 
 #include "dispatcher_p.h"
 #include "entry_status_p.h"
+#include "forward_client_p.h"
 #include "http_server_p.h"
 #include "peer_link_p.h"
 #include "query_context_p.h"
@@ -47,6 +48,7 @@
   std::string address;
   std::uint16_t port = 0; ///< for callers
   std::uint16_t relayPort = 0;
+  std::uint16_t forwardPort = 0; ///< for requests that peers forward
   std::uint16_t metricsPort = 0;
   std::string dataCentre;
   BudgetLimit budget;
@@ -77,7 +79,8 @@
   /// @returns requests of callers and peers that have no answer yet
   std::size_t running() const
   {
-    return m_server.running() + m_relayWorker.running();
+    return m_server.running() + m_forwardServer.running() +
+           m_relayWorker.running();
   }
   void shutdown();
   /// @returns the number of callers' running queries when the latest request
@@ -96,14 +99,27 @@
     std::chrono::milliseconds timeLimit{ 0 };
   };
 
+  /// Has servers answer a query.
+  /// @param[in] aService chosen from the route's targets; empty for a query
+  ///            over shards
+  void runQuery(QueryContext aQuery, const std::string& aService);
+  /// Has a peer answer a query. A query that a peer has forwarded is refused.
+  void forward(QueryContext aQuery, bool aFromPeer);
   /// Refuses a query that no server got.
   void refuse(const QueryContext& aQuery,
               Duration aRetryAfter,
               const char* aReason,
               const std::string& aDetails);
   const Route* matchRoute(const HttpRequest& aRequest) const;
-  void startQuery(const HttpExchangePtr& aExchange, const Route& aRoute);
+  void startQuery(const HttpExchangePtr& aExchange,
+                  const Route& aRoute,
+                  bool aFromPeer);
   void onRequest(const HttpExchangePtr& aExchange);
+  /// Handles a request that a peer can't answer itself.
+  void onForwarded(const HttpExchangePtr& aExchange);
+  /// Notices that the path to the servers is lost or back, and probes for it
+  /// meanwhile.
+  void watchReach();
   /// Finds a route in the kept configuration versions, newest first.
   RelayWorker::FoundRoute findRoute(const std::string& aRoute,
                                     std::uint64_t aGatherHash);
@@ -129,16 +145,20 @@
   Dispatcher m_dispatcher;
   PeerLinks m_links;
   RelayClient m_relayClient;
+  ForwardClient m_forwardClient;
   TrafficMetrics m_metrics;
   QueryDependencies m_deps;
   RelayWorker m_relayWorker;
   HttpServer m_server;
-  HttpServer m_pageServer; ///< metrics and status
+  HttpServer m_forwardServer; ///< for peers without a path to the servers
+  HttpServer m_pageServer;    ///< metrics and status
   /// Recent configuration versions, newest last. A peer may be a few versions
   /// behind or ahead.
   std::deque<std::shared_ptr<const RoutingTable>> m_versions;
   TrafficView m_view;
   boost::asio::steady_timer m_connectTimer;
+  boost::asio::steady_timer m_reachTimer;
+  bool m_reachLost = false; ///< as last noticed
   TimePoint m_answerBy = TimePoint::max();
   std::atomic<std::uint32_t> m_load{ 0 };
   std::map<std::string, RouteState> m_routes; ///< by name
