A host without a path to the servers refuses relays

Sound hosts lost the parts that they relayed to peers without a path to the servers: each such relay ended without a part, and admission took the missing parts for late ones and refused callers.

--- a/src/gather_query.cpp
+++ b/src/gather_query.cpp
@@ -153,7 +153,11 @@
   }
   if (aReply.state == RelayState::Refused && !relay.ended) {
     relay.ended = true;
-    m_fanOut->add(relay.asked, AttemptKind::First, {});
+    // The peer asked no server, so another one may.
+    const Relay refused = relay;
+    if (!sendRelay(refused.dataCentre, refused.asked)) {
+      m_fanOut->add(refused.asked, AttemptKind::First, {});
+    }
   } else if (aReply.state == RelayState::Final && !relay.ended) {
     relay.ended = true;
     reassignMissing(relay);
--- a/src/relay_client.cpp
+++ b/src/relay_client.cpp
@@ -151,9 +151,15 @@
   if (found == m_running.end()) {
     return;
   }
+  avoid(found->second.host);
+}
+
+void
+RelayClient::avoid(const std::string& aHost)
+{
   for (auto& entry : m_peers) {
     for (Peer& peer : entry.second) {
-      if (peer.host.name == found->second.host) {
+      if (peer.host.name == aHost) {
         peer.avoidUntil = m_clock.now() + kAvoidTime;
         logWrite(LogLevel::Info,
                  LogLine("peer-avoided").add("peer", peer.host.name));
@@ -176,6 +182,9 @@
     return; // the relay has ended, was cancelled or runs at another host
   }
   const auto listener = found->second.listener.lock();
+  if (reply->state == RelayState::Refused) {
+    avoid(aHost);
+  }
   if (reply->state == RelayState::Final ||
       reply->state == RelayState::Refused) {
     m_running.erase(found);
--- a/src/relay_client_p.h
+++ b/src/relay_client_p.h
@@ -77,6 +77,8 @@
     std::weak_ptr<RelayListenerI> listener;
   };
 
+  /// Sends a peer no relays for a while.
+  void avoid(const std::string& aHost);
   /// @returns the next peer that isn't avoided, or null
   Peer* choosePeer(const std::string& aDataCentre);
   void sendMessage(const Host& aHost, MessageType aType, std::string aPayload);
--- a/src/relay_worker.cpp
+++ b/src/relay_worker.cpp
@@ -223,13 +223,16 @@
     return;
   }
   FoundRoute found = m_findRoute(query->route, query->gatherHash);
-  if (found.route == nullptr) {
-    logWrite(
-      LogLevel::Info,
-      LogLine("relay-refused")
-        .add("peer", aHost)
-        .add("route", query->route)
-        .addText("reason", "no such route in any held configuration version"));
+  const char* refusal =
+    found.route == nullptr ? "no such route in any held configuration version"
+    : !m_deps.dispatcher.canReach(*found.route, {}) ? "no path to servers"
+                                                    : nullptr;
+  if (refusal != nullptr) {
+    logWrite(LogLevel::Info,
+             LogLine("relay-refused")
+               .add("peer", aHost)
+               .add("route", query->route)
+               .addText("reason", refusal));
     RelayReply reply;
     reply.relayId = query->relayId;
     reply.state = RelayState::Refused;
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -85,6 +85,7 @@
   CPPUNIT_TEST_SUITE(ForwardTest);
   CPPUNIT_TEST(peerAnswersForHostWithoutServers);
   CPPUNIT_TEST(requestThatMayRunOnceRunsOnce);
+  CPPUNIT_TEST(soundHostDoesWithoutItsPeer);
   CPPUNIT_TEST(refusesAtOnceWithoutAnyPath);
   CPPUNIT_TEST_SUITE_END();
 
