Follow a server's own word that it leaves or wants no requests

The dispatcher now leaves both alone: the leaving one for good, the refusing one until its time is over; what is left goes to replicas.

leavesServerWhoseAnswersSayThatItLeaves and leavesServerAloneForItsRetryAfter guard it.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -140,7 +140,7 @@
     const ServerEntry& entry = *aServers[i];
     const bool tried =
       std::find(aTried.begin(), aTried.end(), entry.server.id) != aTried.end();
-    if (tried || entry.replaced || !entry.coldLimit.allows(now) ||
+    if (tried || !entry.takesRequests(now) || !entry.coldLimit.allows(now) ||
         !entry.statedLimit.allows(now)) {
       continue;
     }
@@ -189,7 +189,7 @@
   const TimePoint now = m_clock.now();
   std::set<std::string> centres;
   for (const ServerEntryPtr& entry : m_servers.usable(aService)) {
-    if (!entry->replaced && !entry->health.isAvoided(now)) {
+    if (entry->takesRequests(now) && !entry->health.isAvoided(now)) {
       centres.insert(entry->server.dataCentre);
     }
   }
@@ -204,7 +204,7 @@
   return std::any_of(
     servers.begin(), servers.end(), [&](const ServerEntryPtr& aEntry) {
       return m_servers.isInSameDataCentre(aEntry->server) &&
-             !aEntry->replaced && !aEntry->health.isAvoided(now);
+             aEntry->takesRequests(now) && !aEntry->health.isAvoided(now);
     });
 }
 
@@ -317,6 +317,23 @@
   logWrite(LogLevel::Info, line);
 }
 
+/// Takes over when an answer says that the server wants no further requests.
+void
+Dispatcher::recordRefusal(ServerEntry& aEntry, const ServerAnswer& aAnswer)
+{
+  if (aAnswer.leaving && !aEntry.leaving) {
+    aEntry.leaving = true;
+    logWrite(LogLevel::Info,
+             LogLine("server-leaving")
+               .add("server", aEntry.server.id)
+               .add("service", aEntry.server.service));
+  }
+  if (aAnswer.retryAfter) {
+    aEntry.refusesUntil =
+      std::max(aEntry.refusesUntil, m_clock.now() + *aAnswer.retryAfter);
+  }
+}
+
 /// Classifies the result of an exchange, updates the server's health, and
 /// counts and logs the result.
 AttemptResult
@@ -351,6 +368,7 @@
       result.response = std::move(aResult.response);
       if (!result.answer.otherServer) {
         recordLimit(entry, result.answer);
+        recordRefusal(entry, result.answer);
       }
       if (result.answer.good) {
         result.end = AttemptEnd::Good;
--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -174,6 +174,7 @@
                     AttemptKind aKind,
                     Done aDone);
   void recordLimit(ServerEntry& aEntry, const ServerAnswer& aAnswer);
+  void recordRefusal(ServerEntry& aEntry, const ServerAnswer& aAnswer);
   void logFailure(const Attempt& aAttempt, const AttemptResult& aResult);
   AttemptResult recordResult(Attempt& aAttempt, ExchangeResult aResult);
   SharedBudget& budget(const std::string& aService);
--- a/src/server_table.cpp
+++ b/src/server_table.cpp
@@ -177,6 +177,8 @@
     status.state = server.draining                            ? "draining"
                    : m_evacuated.count(server.dataCentre) > 0 ? "evacuated"
                    : entry->replaced                          ? "replaced"
+                   : entry->leaving                           ? "leaving"
+                   : now < entry->refusesUntil                ? "refusing"
                    : entry->health.isAvoided(now)             ? "avoided"
                                                               : "ready";
     status.cold = entry->coldLimit.isCold(now);
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -37,6 +37,14 @@
   StatedLimit statedLimit;
   std::uint32_t running = 0; ///< this host's running attempts at the server
   bool replaced = false;     ///< another server answers at its address
+  bool leaving = false;      ///< its answers say that it leaves
+  TimePoint refusesUntil;    ///< as its latest refusal states
+
+  /// @returns true when the server may get requests of this host
+  bool takesRequests(TimePoint aNow) const
+  {
+    return !replaced && !leaving && aNow >= refusesUntil;
+  }
 };
 using ServerEntryPtr = std::shared_ptr<ServerEntry>;
 
--- a/src/traffic_protocol_p.h
+++ b/src/traffic_protocol_p.h
@@ -34,6 +34,9 @@
   /// Requests a second that the server accepts from all hosts together; nothing
   /// when the answer states no limit.
   std::optional<double> requestsPerSecond;
+  bool leaving = false; ///< the server leaves; it wants no new requests
+  /// After a refusal: time for which the server wants no request of this host.
+  std::optional<std::chrono::milliseconds> retryAfter;
 };
 
 class TrafficProtocolI
--- a/tests/platform_fakes.h
+++ b/tests/platform_fakes.h
@@ -283,6 +283,8 @@
   std::atomic<int> crashes{ 0 };
   /// Requests a second that the answers state as the server's limit; 0: none.
   std::atomic<double> limit{ 0.0 };
+  std::atomic<bool> leaving{ false }; ///< stated in the answers
+  std::atomic<int> retryAfterS{ 0 };  ///< stated in refusals; 0: not stated
 
   /// @returns the most requests in a window of that length since a time
   std::size_t mostIn(std::chrono::milliseconds aWindow, TimePoint aSince) const
@@ -310,6 +312,9 @@
     if (mode == Mode::Shedding) {
       HttpResponse refusal = makeResponse(503, "full");
       refusal.set("Not-Executed", "1");
+      if (retryAfterS > 0) {
+        refusal.set("Retry-After", std::to_string(retryAfterS.load()));
+      }
       aExchange->reply(std::move(refusal));
       return;
     }
@@ -358,6 +363,9 @@
       makeResponse(mode == Mode::Failing ? 500 : 200, body);
     response.set("Request-Id", request);
     response.set("Server-Stamp", id + "." + request);
+    if (leaving) {
+      response.set("Server-Leaving", "1");
+    }
     if (limit > 0.0) {
       response.set("Server-Limit", std::to_string(limit));
     }
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -121,6 +121,8 @@
   CPPUNIT_TEST(refusesWhileShardsAreOverloaded);
   CPPUNIT_TEST(hostsTogetherKeepToAServersLimit);
   CPPUNIT_TEST(requestThatCrashesServersIsNotSentOn);
+  CPPUNIT_TEST(leavesServerWhoseAnswersSayThatItLeaves);
+  CPPUNIT_TEST(leavesServerAloneForItsRetryAfter);
   CPPUNIT_TEST(servesMetricsAndStatus);
   CPPUNIT_TEST(programStopsOnSignals);
   CPPUNIT_TEST_SUITE_END();
@@ -486,6 +488,49 @@
     CPPUNIT_ASSERT_EQUAL(sent, whole);
   }
 
+  // Guards against requests to a server that has said that it leaves and is
+  // still published as ready.
+  void leavesServerWhoseAnswersSayThatItLeaves()
+  {
+    start(1);
+    FakeServer& server = *m_servers.front();
+    server.leaving = true;
+    CPPUNIT_ASSERT(waitFor(
+      [&] {
+        query(0, "/all/x");
+        return server.ran > 0;
+      },
+      milliseconds(3000)));
+    const int before = server.ran;
+    for (int i = 0; i < 30; ++i) {
+      CPPUNIT_ASSERT_EQUAL(kShards, countStamps(query(0, "/all/x").response));
+    }
+    CPPUNIT_ASSERT_EQUAL(before, server.ran.load());
+  }
+
+  // Guards against requests to a server within the time for which its refusal
+  // asked for none, and against a server that is never used again.
+  void leavesServerAloneForItsRetryAfter()
+  {
+    start(1);
+    FakeServer& server = *m_servers.back();
+    server.mode = FakeServer::Mode::Shedding;
+    server.retryAfterS = 2;
+    query(0, "/once/x");
+    const auto arrivals = [&server] {
+      return server.mostIn(milliseconds(10'000), TimePoint());
+    };
+    const std::size_t before = arrivals();
+    for (int i = 0; i < 10; ++i) {
+      CPPUNIT_ASSERT_EQUAL(503U, query(0, "/once/x").response.result_int());
+    }
+    CPPUNIT_ASSERT_EQUAL(before, arrivals());
+    server.mode = FakeServer::Mode::Serving;
+    CPPUNIT_ASSERT(
+      waitFor([&] { return query(0, "/once/x").response.result_int() == 200; },
+              milliseconds(4000)));
+  }
+
   // Guards against a request that crashes each server which runs it, sent again
   // and again at different hosts, and against a refusal of other requests.
   void requestThatCrashesServersIsNotSentOn()
