--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -172,6 +172,12 @@
       { R"("warmup_left_ms":0)", R"("warmup_left_ms":{})" },
       { R"(,"sequence":4)", "" },
       { R"("sequence":4)", R"("sequence":"4")" },
+      { R"("10.0.0.1:80")", R"("10.0.0.1:70000")" },
+      { R"("10.0.0.1:80")", R"("10.0.0.1:0")" },
+      { R"("slots":3)", R"("slots":99999999999999999999)" },
+      { R"("slots":3)", R"("slots":1e400)" },
+      { R"("warmup_left_ms":0)", R"("warmup_left_ms":1e308)" },
+      { R"("sequence":4)", R"("sequence":1e30)" },
     };
     for (const auto& [part, fault] : faults) {
       std::string text = good;
