--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -158,8 +158,11 @@
   std::set<std::string> dataCentresOf(const std::string& aService) const;
   /// @returns true when this host's data centre is among dataCentresOf()
   bool isLocal(const std::string& aService) const;
-  /// @returns true when this host can reach enough services of the route for an
-  ///          answer, as far as it knows
+  /// @param[in] aService the service chosen from the route's targets; not used
+  ///            for a route over shards
+  /// @returns true when this host can reach enough servers for an answer, as
+  /// far
+  ///          as it knows
   bool canReach(const Route& aRoute, const std::string& aService) const;
   /// @param[in] aSharingHosts number of hosts that share the budgets equally, 0
   ///            when this host has no share
--- a/tests/config_sync_test.cpp
+++ b/tests/config_sync_test.cpp
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(damagedDeltaFallsBackToWhole);
   CPPUNIT_TEST(malformedMessagesAreRefused);
   CPPUNIT_TEST(cutOffReaderIsCovered);
+  CPPUNIT_TEST(cutOffDataCentresFollowTheOthers);
   CPPUNIT_TEST(deadReaderIsReplaced);
   CPPUNIT_TEST(fullSizeSpreadAndCost);
   CPPUNIT_TEST_SUITE_END();
@@ -449,6 +450,23 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), config.heldRevisions().rules);
   }
 
+  // Guards against a change that data centres miss in which no host's reads are
+  // answered.
+  void cutOffDataCentresFollowTheOthers()
+  {
+    ControlFleet fleet(44);
+    fleet.start(80, 4);
+    fleet.run(seconds(10));
+    for (auto& entry : fleet.members) {
+      entry.second->platformSilent = entry.second->host.dataCentre != "dc0";
+    }
+    fleet.publish(fleetRules(4, "second"));
+    const Duration taken = fleet.runUntil(kChangeLimit, [](auto& aMember) {
+      return aMember.views.back().rules == 2;
+    });
+    CPPUNIT_ASSERT(taken < kChangeLimit);
+  }
+
   // Guards against a change that no node reads because the reads of the first
   // reader in every data centre get no answer and no error.
   void cutOffReaderIsCovered()
