The quarantine outlives the handlers that report to it; fakes wait for theirs

The address sanitizer shows a fake server's cancelled accept handler that runs after the server is destroyed; the destructors of the fakes now let such handlers run first. Found on the way by reading: queries that pending handlers own report their losses when an EntryNode's contexts are destroyed, after its quarantine; it is declared before the contexts now.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -54,10 +54,10 @@
                      const Adapter& aAdapter)
   : m_clock(aClock)
   , m_settings(aSettings)
-  , m_source(aAdapter.makeSource(m_controlContext))
   , m_incarnation(newIncarnation())
   , m_broadcaster(aSettings.host, m_incarnation)
   , m_quarantine(aClock, &m_broadcaster, kQuarantinePolicy)
+  , m_source(aAdapter.makeSource(m_controlContext))
   , m_traffic(m_trafficContext,
               aClock,
               aAdapter.traffic,
--- a/src/entry_node_p.h
+++ b/src/entry_node_p.h
@@ -62,12 +62,14 @@
 
   const ClockI& m_clock;
   EntrySettings m_settings;
-  boost::asio::io_context m_controlContext{ 1 };
-  boost::asio::io_context m_trafficContext{ 1 };
-  std::unique_ptr<PublishedSourceI> m_source;
   const std::uint64_t m_incarnation;
   Broadcaster m_broadcaster;
+  /// Outlives the contexts: their pending handlers own queries, which report
+  /// losses when they are destroyed.
   Quarantine m_quarantine;
+  boost::asio::io_context m_controlContext{ 1 };
+  boost::asio::io_context m_trafficContext{ 1 };
+  std::unique_ptr<PublishedSourceI> m_source;
   Traffic m_traffic;
   EntryControl m_control;
   Guard m_trafficWork;
--- a/tests/platform_fakes.h
+++ b/tests/platform_fakes.h
@@ -76,6 +76,7 @@
       m_server.shutdown();
       return 0;
     });
+    m_thread.sync([] { return 0; });
   }
 
   void put(const std::string& aKey, const std::string& aValue)
@@ -272,6 +273,8 @@
       m_server->shutdown();
       return 0;
     });
+    // Handlers that the shutdown cancelled run before the server is destroyed.
+    m_thread.sync([] { return 0; });
   }
 
   const std::string id;
