Log each loss that is counted against a request

The log couldn't tell whether a host had not heard of a loss or had forgotten it: quarantined says neither which losses a host has counted nor from whom it heard of them. strike says both, at most 20 lines a second.

--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -19,6 +19,8 @@
 constexpr std::int64_t kSameLossWindowMs = 3000;
 /// Strikes kept per fingerprint, more than any policy asks for.
 constexpr std::size_t kMaxStrikes = 4;
+/// Most strikes logged in a second: the loss of a network loses many requests.
+constexpr std::uint32_t kMaxStrikeLinesPerSecond = 20;
 
 std::string
 hex(std::uint64_t aValue)
@@ -81,6 +83,7 @@
   : m_clock(aClock)
   , m_broadcast(aBroadcast)
   , m_policy(aPolicy)
+  , m_strikeLogLimit(aClock, kMaxStrikeLinesPerSecond)
 {
   if (m_broadcast != nullptr) {
     m_broadcast->subscribe(
@@ -88,7 +91,7 @@
       [this](const std::string& aOrigin, const std::string& aItem) {
         Strike strike;
         if (Strike::decode(aItem, strike)) {
-          countStrike(strike);
+          countStrike(strike, aOrigin);
         } else {
           logWrite(LogLevel::Warn,
                    LogLine("strike-dropped").add("origin", aOrigin));
@@ -132,11 +135,11 @@
   if (m_broadcast != nullptr) {
     m_broadcast->publish(BroadcastKind::Strike, aStrike.encode());
   }
-  return countStrike(aStrike);
+  return countStrike(aStrike, {});
 }
 
 bool
-Quarantine::countStrike(const Strike& aStrike)
+Quarantine::countStrike(const Strike& aStrike, const std::string& aOrigin)
 {
   const TimePoint now = m_clock.now();
   const std::lock_guard<std::mutex> lock(m_mutex);
@@ -157,6 +160,16 @@
   }
   entry.strikes.push_back(aStrike);
   entry.lastStrike = now;
+  if (m_strikeLogLimit.allows()) {
+    logWrite(LogLevel::Info,
+             LogLine("strike")
+               .add("fingerprint", hex(aStrike.fingerprint))
+               .add("server", hex(aStrike.server))
+               .add("attempt", hex(aStrike.attempt))
+               .add("origin", aOrigin.empty() ? "self" : aOrigin)
+               .add("strikes", entry.strikes.size())
+               .add("suppressed", m_strikeLogLimit.takeSuppressed()));
+  }
   if (entry.blockedUntil <= now && isEnough(entry)) {
     // The request may merely have run on servers that another request crashed,
     // so the first quarantine is short.
--- a/src/quarantine_p.h
+++ b/src/quarantine_p.h
@@ -14,6 +14,7 @@
 
 #include "broadcast_p.h"
 #include "clock_p.h"
+#include "log_limit_p.h"
 #include "rules_p.h"
 
 namespace toucanridge {
@@ -105,7 +106,8 @@
     bool quarantinedBefore = false;
   };
 
-  bool countStrike(const Strike& aStrike);
+  /// @param[in] aOrigin host that detected the loss, empty for this one
+  bool countStrike(const Strike& aStrike, const std::string& aOrigin);
   /// Requires m_mutex to be held.
   bool isBlockedLocked(std::uint64_t aFingerprint) const;
   void evictEntries();
@@ -119,6 +121,7 @@
   mutable std::mutex m_mutex;                 ///< guards what follows
   std::map<std::uint64_t, Entry> m_entries;
   std::set<std::uint64_t> m_liftedFingerprints;
+  LogRateLimiter m_strikeLogLimit;
 };
 
 } // namespace toucanridge
