Soak: requests that crash servers, and the check of their promise (known red)

Two checks: at most three attempts reach servers later than 4 s after the third crash, and no other request is refused as quarantined.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -21,6 +21,10 @@
 MIN_COVERAGE = 0.8
 # With these statuses an answer says that the request wasn't executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+# A request that has crashed a third server reaches servers in at most three
+# attempts that arrive later than this.
+CRASH_CONTACT_S = 4.0
+MAX_LATE_CRASH_ATTEMPTS = 3
 PLANNED_EVENTS = ("term", "hup", "config", "drain", "evacuate")
 
 
@@ -273,6 +277,39 @@
     return found if len(found) > 5 else []
 
 
+def crashing_requests_held(ledger):
+    """A request that has crashed three servers reaches servers in at most three
+    later attempts. While no host runs, nothing remembers the crashes, so they
+    are counted from then on."""
+    found = []
+    for target in {target for _, target in ledger.crashes}:
+        crashes = sorted(at for at, name in ledger.crashes if name == target)
+        arrivals = [(at, id_) for at, _, id_ in ledger.arrivals
+                    if ledger.attempts[id_].target == target]
+        starts = [0.0] + [at for at in ledger.all_down]
+        for start, until in zip(starts, starts[1:] + [float("inf")]):
+            counted = [at for at in crashes if start <= at < until]
+            if len(counted) < 3:
+                continue
+            late = {id_ for at, id_ in arrivals
+                    if counted[2] + CRASH_CONTACT_S < at < until}
+            if len(late) > MAX_LATE_CRASH_ATTEMPTS:
+                found.append(
+                    "%s reached servers in %d attempts later than %.0f s after "
+                    "it had crashed a third, %d crashed in all" % (
+                        target, len(late), CRASH_CONTACT_S, len(crashes)))
+    return found
+
+
+def innocent_requests_not_held(ledger):
+    """No other request is refused because it ran on servers that crashed."""
+    crashing = {target for _, target in ledger.crashes}
+    return ["%s %s at %s was refused as quarantined" % (
+        a.id, a.target, a.node) for a in ledger.attempts.values()
+            if a.answer and a.answer.body == b"quarantined\n" and
+            a.target not in crashing]
+
+
 def recovery(ledger):
     """Once all faults have ended, at least a quarter of requests succeed."""
     final = [a for a in ledger.attempts.values() if a.is_final]
@@ -286,4 +323,5 @@
 CHECKS = [correct_answers, requests_unchanged, at_most_once, attempt_limit,
           retry_budget, forwarded_deadline, deadlines_met, no_requests_lost,
           no_work_after_drain, config_propagation, no_false_client_errors,
-          no_work_after_disconnect, recovery]
+          no_work_after_disconnect, crashing_requests_held,
+          innocent_requests_not_held, recovery]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,6 +2,7 @@
 a random generator, records the event in the ledger, and ends the fault
 again."""
 import asyncio
+import random
 import signal
 
 import proxy
@@ -179,3 +180,70 @@
 UNPLANNED_FAULTS = [node_pause, node_kill, all_killed, caller_links, store_link,
                     server_links, store_down, store_slow, store_compacts,
                     server_misbehaves, server_crash]
+
+
+async def no_trouble(fleet, until):
+    """The hosts run all the time."""
+
+
+async def restart_each(fleet, until):
+    """Each host stops and starts again once, one after the other."""
+    await asyncio.sleep(8.0)
+    for node in fleet.nodes:
+        await node.restart()
+
+
+async def restart_all_the_time(fleet, until):
+    await asyncio.sleep(4.0)
+    while now() < until - 8.0:
+        for node in fleet.nodes:
+            await node.restart()
+
+
+async def kill_in_turn(fleet, until):
+    await asyncio.sleep(4.0)
+    while now() < until - 5.0:
+        for node in fleet.nodes:
+            event = fleet.ledger.add_event("kill", node.name,
+                                           until=now() + 3600)
+            await node.kill(0.3)
+            event[1] = now()
+            await asyncio.sleep(0.7)
+
+
+async def pause_in_turn(fleet, until):
+    """Freezes each host for longer than the first quarantine lasts."""
+    for node in fleet.nodes[:2]:
+        if node.deliver_signal(signal.SIGSTOP):
+            await record_event_for(fleet, "pause", node.name, 11.0)
+            node.deliver_signal(signal.SIGCONT)
+
+
+async def all_killed_once(fleet, until):
+    await asyncio.sleep(8.0)
+    await all_killed(fleet, random.Random(fleet.seed))
+
+
+class CrashingPlay:
+    """How a request that crashes servers is sent, and the trouble beside."""
+
+    def __init__(self, route, interval_s, all_at_once, trouble):
+        self.route = route            # index into the fleet's routes
+        self.interval_s = interval_s
+        self.all_at_once = all_at_once
+        self.trouble = trouble
+
+
+GATHER, PULL, ONCE = 0, 2, 3   # routes of the fleet
+CRASHING_PLAYS = [
+    CrashingPlay(PULL, 0.8, False, no_trouble),
+    CrashingPlay(PULL, 0.8, False, restart_each),
+    CrashingPlay(GATHER, 0.8, False, restart_each),
+    CrashingPlay(PULL, 2.0, True, no_trouble),
+    CrashingPlay(GATHER, 3.0, True, no_trouble),
+    CrashingPlay(PULL, 0.8, False, restart_all_the_time),
+    CrashingPlay(GATHER, 0.8, False, kill_in_turn),
+    CrashingPlay(ONCE, 0.3, False, restart_each),
+    CrashingPlay(PULL, 0.8, False, kill_in_turn),
+    CrashingPlay(PULL, 1.0, True, pause_in_turn),
+    CrashingPlay(PULL, 0.8, True, all_killed_once)]
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,9 +6,13 @@
 promises from what callers and servers observed.
 
 Usage: run.py PROGRAM [--seeds FIRST-LAST,...] [--seconds N] [--nodes N]
-              [--jobs N] [--trouble none|planned|all] [--keep DIRECTORY]
+              [--jobs N] [--trouble none|planned|all|crashing]
+              [--keep DIRECTORY]
 Exit status 1 when a promise was broken. Every third seed has planned events
-only, so that the bounds that hold during those are checked too.
+only, so that the bounds that hold during those are checked too; every second
+one of the others has a request that crashes the servers which run it. With
+--trouble crashing, each seed has such a request beside one kind of trouble at
+the hosts (faults.CRASHING_PLAYS, by turns).
 """
 import argparse
 import asyncio
@@ -29,6 +33,7 @@
 
 SHARDS = 6
 REQUESTS_PER_S = 30.0
+POPULAR_SHARE = 0.1     # of requests that have a target in common
 RECOVERY_S = 6.0        # after the last fault, before the final requests
 FINAL_REQUESTS = 40
 GRACE_S = 6.0
@@ -112,6 +117,7 @@
             self.exit_expected = True
             self.process.kill()
             await self.wait_for_exit(5.0)
+            self.fleet.note_if_all_down()
             await asyncio.sleep(down_s)
             self.start()
 
@@ -141,6 +147,7 @@
         async with self.restart_lock:
             await self.terminate()
             if self.process.poll() is not None:
+                self.fleet.note_if_all_down()
                 self.start()
 
     def check_alive(self):
@@ -171,6 +178,7 @@
         self.rng = random.Random(seed)   # for callers and servers
         self.planned_only = options.trouble == "planned" or \
             (options.trouble == "all" and seed % 3 == 0)
+        self.crashing_targets = set()
         self.directory = directory
         self.net = net
         self.zones = ZONES
@@ -182,6 +190,7 @@
         self.store = world.Store((self.ip(1, 0), STORE_PORT))
         self.servers = set()
         self.server_count = 0
+        self.returns = set()   # of crashed servers
         self.version = 0
         self.version_put = 0.0
         self.generation = 0
@@ -256,6 +265,34 @@
         await asyncio.sleep(removal_delay_s)
         self.store.remove("servers/" + server.id)
 
+    def note_if_all_down(self):
+        if all(node.process.poll() is not None for node in self.nodes):
+            self.ledger.all_down.append(now())
+
+    def crash_server(self, server, target):
+        """Ends a server at once; it is back after some seconds, mostly with
+        another id."""
+        if server not in self.servers:
+            return
+        self.ledger.crashes.append((now(), target))
+        self.servers.discard(server)
+        server.stop()
+        event = self.ledger.add_event("server crash", None,
+                                      until=now() + 3600)
+        self.returns.add(asyncio.ensure_future(
+            self.return_server(server, event)))
+
+    async def return_server(self, server, event):
+        await asyncio.sleep(self.rng.uniform(1.5, 3.0))
+        if self.rng.random() < 0.7:
+            self.store.remove("servers/" + server.id)
+            server.id = "i-%08x" % self.rng.getrandbits(32)
+        server.started_at = now()
+        await server.start()
+        self.servers.add(server)
+        self.store.put("servers/" + server.id, server.entry())
+        event[1] = now()
+
     async def reshard(self):
         """Starts servers for a new set of shards, configures these, and drains
         the old servers."""
@@ -306,8 +343,8 @@
         self.ledger.add_event("start", None)
 
     async def send(self, route, node, deadline_s, leave_s=None, probe=False,
-                   final=False):
-        suffix = "%x" % self.rng.getrandbits(40)
+                   final=False, suffix=None):
+        suffix = suffix or "%x" % self.rng.getrandbits(40)
         services = set(self.shards()) if route.gather else {route.service}
         task = self.callers.send(route, node, suffix, deadline_s, leave_s,
                                  reuse=self.rng.random() < 0.7)
@@ -321,6 +358,7 @@
         """Sends requests on persistent and new connections; some callers leave
         early."""
         running = set()
+        popular = random.Random("popular %d" % self.seed)
         while now() < until:
             await asyncio.sleep(self.rng.expovariate(REQUESTS_PER_S))
             route = self.rng.choice(self.routes)
@@ -328,8 +366,27 @@
             deadline_s = route.timeout_ms / 1000
             leave_s = self.rng.uniform(0.0, 0.1) \
                 if self.rng.random() < 0.05 else None
+            suffix = "popular" if popular.random() < POPULAR_SHARE else None
             running.add(asyncio.ensure_future(
-                self.send(route, node, deadline_s, leave_s)))
+                self.send(route, node, deadline_s, leave_s, suffix=suffix)))
+        await asyncio.gather(*running)
+
+    async def run_crashing_request(self, until, play):
+        """Sends a request that crashes servers, again and again, to one host
+        or to all hosts at once."""
+        rng = random.Random("crashing %d" % self.seed)
+        route = self.routes[play.route]
+        suffix = "crash%x" % rng.getrandbits(32)
+        self.crashing_targets.add(route.prefix + suffix)
+        running = set()
+        while now() < until:
+            names = [node.name for node in self.nodes]
+            if not play.all_at_once:
+                names = [rng.choice(names)]
+            running |= {asyncio.ensure_future(self.send(
+                route, name, route.timeout_ms / 1000, suffix=suffix))
+                        for name in names}
+            await asyncio.sleep(play.interval_s)
         await asyncio.gather(*running)
 
     async def run_probes(self, until):
@@ -356,7 +413,7 @@
 
     async def inject_faults(self, until):
         """Starts faults one after the other; they may overlap."""
-        if self.options.trouble == "none":
+        if self.options.trouble in ("none", "crashing"):
             return
         kinds = faults.PLANNED_FAULTS if self.planned_only \
             else faults.PLANNED_FAULTS + faults.UNPLANNED_FAULTS * 2
@@ -402,9 +459,19 @@
         try:
             await self.start()
             until = now() + self.options.seconds
-            await asyncio.gather(
-                self.run_traffic(until), self.run_probes(until),
-                self.inject_faults(until - 3.0))
+            tasks = [self.run_traffic(until), self.run_probes(until),
+                     self.inject_faults(until - 3.0)]
+            if self.options.trouble == "crashing":
+                plays = faults.CRASHING_PLAYS
+                play = plays[self.seed % len(plays)]
+                tasks += [self.run_crashing_request(until, play),
+                          play.trouble(self, until)]
+            elif self.options.trouble == "all" and not self.planned_only and \
+                    self.seed % 2 == 0:
+                tasks.append(self.run_crashing_request(
+                    until, faults.CRASHING_PLAYS[0]))
+            await asyncio.gather(*tasks)
+            await asyncio.gather(*self.returns)
             await self.finish()
         finally:
             watch.cancel()
@@ -437,6 +504,8 @@
     report = "seed %d: %s, %d requests, %d served, %d runs, %d events" % (
         seed, "FAILED" if findings else "ok", len(attempts), served,
         sum(map(len, fleet.ledger.runs.values())), len(fleet.ledger.events))
+    if fleet.ledger.crashes:
+        report += ", %d crashes" % len(fleet.ledger.crashes)
     if fleet.stand_in_delay_s > 0:
         report += ", stand-ins held up %.2f s" % fleet.stand_in_delay_s
     for finding in findings[:10]:
@@ -457,7 +526,7 @@
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--trouble", default="all",
-                        choices=["none", "planned", "all"])
+                        choices=["none", "planned", "all", "crashing"])
     parser.add_argument("--keep")
     options = parser.parse_args()
     seeds = []
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,6 +14,7 @@
 PAGE_SIZE = 5    # items; small, so that every listing has several pages
 TOP_K = 8
 HOST = "soak.example"
+CRASH_AFTER_S = 0.05     # that a server runs a request which crashes it
 now = time.monotonic
 
 
@@ -66,6 +67,8 @@
         self.shard_sets = []     # (time, frozenset of services), as configured
         self.events = []         # [from, until, kind, what]
         self.probes = []
+        self.crashes = []        # (time, target) of requests that end servers
+        self.all_down = []       # times at which no host ran
 
     def add_event(self, kind, subject, start=None, until=None):
         self.events.append([start or now(), until or now(), kind, subject])
@@ -251,6 +254,10 @@
             self.queued -= 1
 
     async def _execute(self, message, writer, id_):
+        if message.start_line[1] in self.fleet.crashing_targets:
+            await asyncio.sleep(CRASH_AFTER_S)
+            self.fleet.crash_server(self, message.start_line[1])
+            return False
         work_s = random.lognormvariate(-4.6, 0.4)
         if self.mode == "slow":
             work_s *= 8
