One crash of a server is one loss, whichever attempts ran on it

Callers of a popular request were refused with 503 although the request crashed nothing: several attempts that ran on a server as another request crashed it counted as separate losses, so that a single crash could quarantine them.

The count told losses of one server apart by attempt. Now losses of one server within 500 ms are one loss; of one attempt within 3 s, as before.

QuarantineTest::oneCrashOfManyAttemptsIsNoQuarantine fails without the change. oneAttemptOfManyLossesIsNoQuarantine lost the same server twice in one millisecond and took that for two losses; its later attempts now lose servers of their own, the counts are the same.

--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -17,6 +17,9 @@
 /// several queries or nodes detected. A server takes about this long to
 /// restart. Clock differences between hosts must stay below it.
 constexpr std::int64_t kSameLossWindowMs = 3000;
+/// As above, for attempts of different callers, where attempts are told apart.
+/// A crash ends all of them at once, and servers may restart within a second.
+constexpr std::int64_t kSameCrashWindowMs = 500;
 /// Strikes kept per fingerprint, more than any policy asks for.
 constexpr std::size_t kMaxStrikes = 4;
 /// Most strikes logged in a second: the loss of a network loses many requests.
@@ -149,8 +152,9 @@
   const bool counted = std::any_of(
     entry.strikes.begin(), entry.strikes.end(), [&](const Strike& aEarlier) {
       return aEarlier.server == aStrike.server &&
-             aEarlier.attempt == aStrike.attempt &&
-             std::abs(aEarlier.atMs - aStrike.atMs) < kSameLossWindowMs;
+             std::abs(aEarlier.atMs - aStrike.atMs) <
+               (aEarlier.attempt == aStrike.attempt ? kSameLossWindowMs
+                                                    : kSameCrashWindowMs);
     });
   if (counted) {
     return isBlockedLocked(aStrike.fingerprint);
