Quarantined requests are known to all hosts, and one host at a time tries them

Cause: strikes travelled once, by gossip. A host that started later, or missed the datagrams, let the request through until it had seen three losses itself. The quarantine ended at all hosts within 0.2 s, and each of them could try the request before it heard of the others' losses. The class: knowledge in one host's memory that travels once.

Change: the state of a quarantined request is a record that every datagram carries and hosts merge in any order; a change of it is announced at once. A starting host serves after it has heard from a peer, for 0.4 s at most. After the quarantine the hosts take turns at a trial; a trial goes to one server, also of a query over shards, and if its result isn't seen the next one waits twice as long. An answer releases the request, or clears its strikes, on all hosts. A full table evicts requests without a quarantine first. Old builds ignore the new kinds of broadcast items.

A crashed stand-in now refuses connections, as an ended process does; before, its proxy took and reset them, which made every request to it a loss.

--- a/Makefile
+++ b/Makefile
@@ -28,12 +28,15 @@
 	@python3 soak/run.py $(BUILD)/toucanridge --seeds $(SEEDS) --jobs 4 \
 	  --keep $(BUILD)/soak
 
-# A run without faults, and the seeds that once failed.
+# A run without faults, the seeds that once failed, and requests that crash
+# servers while hosts restart, die and freeze.
 soak-short: build
 	@python3 soak/run.py $(BUILD)/toucanridge --trouble none --seeds 1 \
 	  --seconds 8
 	@python3 soak/run.py $(BUILD)/toucanridge --jobs 2 --seconds 12 \
 	  --seeds "$$(awk '/^[0-9]/ {print $$1}' soak/regressions.txt | paste -sd,)"
+	@python3 soak/run.py $(BUILD)/toucanridge --trouble crashing --jobs 4 \
+	  --seconds 24 --seeds 1,3,5,6
 
 bench: build
 	@scripts/bench.sh $(BUILD)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -43,6 +43,16 @@
     await asyncio.gather(*restarts)
 
 
+async def replace_each(fleet):
+    """Replaces each host in turn by one of the other version; for a while,
+    hosts of both run side by side."""
+    await asyncio.sleep(2.0)
+    for node in fleet.nodes:
+        node.program = fleet.last_program
+        await node.restart()
+        await asyncio.sleep(0.5)
+
+
 async def node_reload(fleet, rng):
     for node in fleet.nodes:
         if node.deliver_signal(signal.SIGHUP):
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -23,10 +23,15 @@
         self.server = await asyncio.start_server(
             self._accept, self.listen[0], self.listen[1])
 
-    async def stop(self):
+    def refuse(self):
+        """Refuses connections from now on, as the address of an ended process
+        does, and resets the open ones."""
         self.server.close()
         self.reset()
 
+    async def stop(self):
+        self.refuse()
+
     def reset(self):
         """Resets every open connection."""
         for link in list(self.links):
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,12 +7,14 @@
 
 Usage: run.py PROGRAM [--seeds FIRST-LAST,...] [--seconds N] [--nodes N]
               [--jobs N] [--trouble none|planned|all|crashing]
-              [--keep DIRECTORY]
+              [--older PROGRAM] [--keep DIRECTORY]
 Exit status 1 when a promise was broken. Every third seed has planned events
 only, so that the bounds that hold during those are checked too; every second
 one of the others has a request that crashes the servers which run it. With
 --trouble crashing, each seed has such a request beside one kind of trouble at
-the hosts (faults.CRASHING_PLAYS, by turns).
+the hosts (faults.CRASHING_PLAYS, by turns). With --older, a build of another
+version, the hosts are replaced in turn during the run: by PROGRAM in even
+seeds, by the older build in odd ones.
 """
 import argparse
 import asyncio
@@ -59,6 +61,7 @@
         self.name = "host-%d" % index
         self.zone = ZONES[index % len(ZONES)]
         self.ip = fleet.ip(0, index)
+        self.program = fleet.first_program
         self.process = None
         self.exit_expected = False
         self.start_count = 0
@@ -95,7 +98,7 @@
         self.started_at = now()
         self.version_seen_at = {}
         self.process = subprocess.Popen(
-            [self.fleet.program, "platform"], stdout=self.log,
+            [self.program, "platform"], stdout=self.log,
             stderr=subprocess.STDOUT,
             env={"TOUCANRIDGE_NODE_FILE": self.settings_path})
 
@@ -172,7 +175,12 @@
 # The hosts, the store, the backend servers and the callers of one seed.
 class Fleet:
     def __init__(self, options, seed, directory, net):
-        self.program = os.path.abspath(options.program)
+        self.first_program = self.last_program = os.path.abspath(
+            options.program)
+        if options.older and seed % 2 == 0:
+            self.first_program = os.path.abspath(options.older)
+        elif options.older:
+            self.last_program = os.path.abspath(options.older)
         self.options = options
         self.seed = seed
         self.rng = random.Random(seed)   # for callers and servers
@@ -277,6 +285,7 @@
         self.ledger.crashes.append((now(), target))
         self.servers.discard(server)
         server.stop()
+        server.proxy.refuse()
         event = self.ledger.add_event("server crash", None,
                                       until=now() + 3600)
         self.returns.add(asyncio.ensure_future(
@@ -289,6 +298,7 @@
             server.id = "i-%08x" % self.rng.getrandbits(32)
         server.started_at = now()
         await server.start()
+        await server.proxy.start()
         self.servers.add(server)
         self.store.put("servers/" + server.id, server.entry())
         event[1] = now()
@@ -466,10 +476,12 @@
                 play = plays[self.seed % len(plays)]
                 tasks += [self.run_crashing_request(until, play),
                           play.trouble(self, until)]
-            elif self.options.trouble == "all" and not self.planned_only and \
-                    self.seed % 2 == 0:
+            elif self.options.trouble == "all" and self.seed % 2 == 0 and \
+                    not self.options.older and not self.planned_only:
                 tasks.append(self.run_crashing_request(
                     until, faults.CRASHING_PLAYS[0]))
+            if self.options.older:
+                tasks.append(faults.replace_each(self))
             await asyncio.gather(*tasks)
             await asyncio.gather(*self.returns)
             await self.finish()
@@ -527,6 +539,7 @@
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--trouble", default="all",
                         choices=["none", "planned", "all", "crashing"])
+    parser.add_argument("--older")
     parser.add_argument("--keep")
     options = parser.parse_args()
     seeds = []
--- a/src/broadcaster.cpp
+++ b/src/broadcaster.cpp
@@ -47,6 +47,23 @@
   m_receivers[static_cast<std::uint8_t>(aKind)] = std::move(aOnItem);
 }
 
+void
+Broadcaster::setState(BroadcastKind aKind, std::function<std::string()> aNext)
+{
+  m_stateSources[static_cast<std::uint8_t>(aKind)] = std::move(aNext);
+}
+
+void
+Broadcaster::takeState(std::vector<BroadcastItem>& aItems) const
+{
+  for (const auto& [kind, next] : m_stateSources) {
+    std::string payload = next();
+    if (!payload.empty()) {
+      aItems.push_back({ m_self, m_incarnation, 0, kind, std::move(payload) });
+    }
+  }
+}
+
 void
 Broadcaster::add(BroadcastItem aItem)
 {
@@ -95,7 +112,7 @@
   if (receiver == m_receivers.end()) {
     return;
   }
-  {
+  if (m_stateSources.count(aItem.kind) == 0) {
     const std::lock_guard<std::mutex> lock(m_mutex);
     const ItemKey key{ aItem.origin, aItem.incarnation, aItem.number };
     if (!m_seen.insert(key).second) {
--- a/src/broadcaster_p.h
+++ b/src/broadcaster_p.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANRIDGE_BROADCASTER_P_H
 #define TOUCANRIDGE_BROADCASTER_P_H
 
+#include <atomic>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -22,6 +23,9 @@
 
   void publish(BroadcastKind aKind, std::string aPayload) override;
   void subscribe(BroadcastKind aKind, OnItem aOnItem) override;
+  void setState(BroadcastKind aKind,
+                std::function<std::string()> aNext) override;
+  void onStateChanged() override { m_stateChanged = true; }
 
   /// Selects the items that were sent least often and counts them as sent. An
   /// item that was sent aMaxTransmits times is removed from the queue.
@@ -32,6 +36,11 @@
                  std::uint32_t aMaxTransmits,
                  std::vector<BroadcastItem>& aItems);
 
+  /// Appends an item with the next payload of each kind of state.
+  void takeState(std::vector<BroadcastItem>& aItems) const;
+  /// @returns true when state has changed since the last call
+  bool takeStateChanged() { return m_stateChanged.exchange(false); }
+
   /// Delivers an item to its subscriber and queues it for forwarding; ignores
   /// duplicates.
   void onReceived(const BroadcastItem& aItem);
@@ -50,6 +59,8 @@
   const std::string m_self;
   const std::uint64_t m_incarnation;
   std::map<std::uint8_t, OnItem> m_receivers;
+  std::map<std::uint8_t, std::function<std::string()>> m_stateSources;
+  std::atomic<bool> m_stateChanged{ false };
   std::mutex m_mutex; ///< guards the members below
   std::uint32_t m_lastNumber = 0;
   std::uint64_t m_dropped = 0;
--- a/src/control_plane.cpp
+++ b/src/control_plane.cpp
@@ -192,6 +192,10 @@
   if (m_core.membership().takeChanged() || due) {
     std::atomic_store(&m_members, m_core.membership().makeSnapshot());
     m_spreadTime = m_core.membership().spreadTime();
+    if (m_onMembers) {
+      m_onMembers(m_core.membership().aliveHosts(),
+                  m_core.membership().isInformed() && !m_leaving);
+    }
   }
   if (due) {
     m_nextStatus = m_clock.now() + kStatusPeriod;
--- a/src/control_plane_p.h
+++ b/src/control_plane_p.h
@@ -90,6 +90,14 @@
   {
     m_onView = std::move(aOnView);
   }
+  /// Sets the function that is called on the control thread, at least once a
+  /// second, with the hosts believed alive and whether recent messages have
+  /// reached this one. Call setOnMembers() before init().
+  using OnMembers = std::function<void(std::vector<std::string>, bool)>;
+  void setOnMembers(OnMembers aOnMembers)
+  {
+    m_onMembers = std::move(aOnMembers);
+  }
   BroadcastI& broadcast() { return m_core.broadcaster(); }
 
   /// Binds the UDP socket and starts the periodic work.
@@ -144,6 +152,7 @@
   std::function<ViewId()> m_settledViewSource;
   std::function<ViewId()> m_leasedViewSource;
   std::function<void(const ViewPtr&)> m_onView;
+  OnMembers m_onMembers;
   std::unique_ptr<PlatformOnControl> m_platform;
   GossipSocket m_socket;
   ControlCore m_core;
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -24,6 +24,9 @@
 /// A starting host discovers peers for this long before it may read the
 /// platform: in most cases the running fleet already has all items.
 constexpr milliseconds kPeerDiscoveryTime{ 75 };
+/// Longest time for which a starting host that has its configuration waits for
+/// a message of a serving peer, which carries the quarantined requests.
+constexpr milliseconds kInformTime{ 400 };
 /// Within this time a starting host has found the fleet and fetched its
 /// configuration.
 constexpr milliseconds kStartupTime{ 2000 };
@@ -72,6 +75,7 @@
                            const EntrySettings& aSettings,
                            std::uint64_t aIncarnation,
                            Broadcaster& aBroadcaster,
+                           Quarantine& aQuarantine,
                            Adapter aAdapter,
                            std::function<void(const TrafficView&)> aOnView,
                            std::function<std::uint32_t()> aLoad)
@@ -79,6 +83,7 @@
   , m_clock(aClock)
   , m_settings(aSettings)
   , m_incarnation(aIncarnation)
+  , m_quarantine(aQuarantine)
   , m_adapter(aAdapter)
   , m_onView(std::move(aOnView))
   , m_load(std::move(aLoad))
@@ -195,7 +200,8 @@
 EntryControl::runPeriodicTasks()
 {
   // Set first: a task that throws must not end the later ones (runHandlers()).
-  m_timer.expires_after(m_routing ? kTickInterval : kStartingTickInterval);
+  m_timer.expires_after(m_routing && m_wasInformed ? kTickInterval
+                                                   : kStartingTickInterval);
   m_timer.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
       runPeriodicTasks();
@@ -211,7 +217,7 @@
   m_catalogueKeeper.tick();
   const bool due = m_clock.now() >= m_nextPublishAt;
   if (m_catalogueKeeper.isChanged() || m_servingPeersChanged ||
-      m_membership.takeChanged() || due) {
+      m_membership.takeChanged() || due || m_wasInformed != isInformed()) {
     publish();
   }
 }
@@ -252,10 +258,20 @@
   }
 }
 
+/// @returns true when this host knows which requests its peers have
+///          quarantined; if only starting peers are heard, none is known
+bool
+EntryControl::isInformed() const
+{
+  const Duration age = m_clock.now() - m_started;
+  return m_heardServingPeer || age >= kInformTime ||
+         (m_heardStartingPeer && age >= kPeerDiscoveryTime);
+}
+
 bool
 EntryControl::isReady() const
 {
-  return !m_leaving && m_routing != nullptr;
+  return !m_leaving && m_routing != nullptr && isInformed();
 }
 
 void
@@ -435,8 +451,13 @@
   }
   m_servingPeersChanged = false;
   m_nextPublishAt = m_clock.now() + kPublishInterval;
+  const bool nowServes = m_routing && isInformed() && !m_wasInformed;
+  m_wasInformed = isInformed();
+  m_quarantine.setHosts(m_settings.host,
+                        m_membership.aliveHosts(),
+                        m_membership.isInformed() && !m_leaving);
   TrafficView view;
-  view.routing = m_routing;
+  view.routing = m_wasInformed ? m_routing : nullptr;
   view.catalogue = m_catalogue;
   std::vector<Host> entries = entryHosts();
   view.control = makeReport(entries);
@@ -452,6 +473,9 @@
     view.entryHostCount = std::max(view.entryHostCount, kStartingSharingHosts);
   }
   m_onView(view);
+  if (nowServes) {
+    m_membership.announce(kReaderFanOut, true);
+  }
 }
 
 std::shared_ptr<const ControlReport>
@@ -509,8 +533,9 @@
   // the revision of the items, hosts is 1 while this host's reads of the
   // platform fail, hostsHash is the version of the configuration.
   ConfigDigest digest;
-  digest.rules = m_routing ? m_items.revision() : 0;
-  digest.hostsHash = m_routing ? m_routing->version() : 0;
+  const bool serves = m_routing && isInformed();
+  digest.rules = serves ? m_items.revision() : 0;
+  digest.hostsHash = serves ? m_routing->version() : 0;
   digest.hosts = m_isReader && m_adapter.source.lastCallFailed() ? 1 : 0;
   return digest;
 }
@@ -526,6 +551,7 @@
                        const PeerAddress& aAddress,
                        const ConfigDigest& aDigest)
 {
+  (aDigest.rules != 0 ? m_heardServingPeer : m_heardStartingPeer) = true;
   std::uint64_t& revision = m_peerRevisions[aHost];
   m_servingPeersChanged |= (revision == 0) != (aDigest.rules == 0);
   revision = aDigest.rules;
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -26,6 +26,7 @@
 #include "peer_link_p.h"
 #include "published_items_p.h"
 #include "published_source_p.h"
+#include "quarantine_p.h"
 #include "roster_p.h"
 #include "traffic_p.h"
 
@@ -46,6 +47,7 @@
   };
 
   /// @param[in] aBroadcaster its items travel with this host's gossip
+  /// @param[in] aQuarantine is told which hosts are alive
   /// @param[in] aOnView called with each new view, on the control thread
   /// @param[in] aLoad returns the number of running queries; must be
   ///            thread-safe
@@ -54,6 +56,7 @@
                const EntrySettings& aSettings,
                std::uint64_t aIncarnation,
                Broadcaster& aBroadcaster,
+               Quarantine& aQuarantine,
                Adapter aAdapter,
                std::function<void(const TrafficView&)> aOnView,
                std::function<std::uint32_t()> aLoad);
@@ -84,6 +87,7 @@
   void updateReaderRole();
   void onHttp(const HttpExchangePtr& aExchange);
   bool isReady() const;
+  bool isInformed() const;
   void applyItems(const ItemChanges& aChanges, const char* aSource);
   void applyRouting(const PublishedItem& aItem);
   void publish();
@@ -102,6 +106,7 @@
   const ClockI& m_clock;
   EntrySettings m_settings;
   const std::uint64_t m_incarnation;
+  Quarantine& m_quarantine;
   Adapter m_adapter;
   std::function<void(const TrafficView&)> m_onView;
   std::function<std::uint32_t()> m_load;
@@ -113,7 +118,10 @@
   HttpServer m_readiness;
   boost::asio::steady_timer m_timer;
   const TimePoint m_started;
-  bool m_isReader = false; ///< this host reads the platform
+  bool m_heardServingPeer = false;
+  bool m_heardStartingPeer = false;
+  bool m_wasInformed = false; ///< as of the last published view
+  bool m_isReader = false;    ///< this host reads the platform
   /// Whether its reads fail, as announced to its substitutes.
   bool m_announcedReadsFail = false;
   /// Whether a peer's reads of the platform fail, by host.
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -69,6 +69,7 @@
       aSettings,
       m_incarnation,
       m_broadcaster,
+      m_quarantine,
       { *m_source, aAdapter.decoder, aAdapter.directory },
       [this](const TrafficView& aView) {
         boost::asio::post(m_trafficContext,
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -20,6 +20,9 @@
 /// Limit of the extra probes of suspects in a second. A partition can make
 /// hundreds of members suspects at once; the limit keeps the traffic constant.
 constexpr std::uint32_t kMaxConfirmProbesPerSecond = 4;
+/// A member that has run for this long has found most others and exchanged
+/// messages with several of them.
+constexpr std::chrono::seconds kInformedAfter{ 5 };
 
 } // namespace
 
@@ -48,6 +51,7 @@
   , m_dataCentre(std::move(aDataCentre))
   , m_incarnation(aLocal.state().incarnation)
   , m_lastTick(aClock.now())
+  , m_informedSince(aClock.now())
 {
   // A random phase, so that nodes that start together don't probe at the same
   // time.
@@ -360,6 +364,24 @@
   return found == m_members.end() ? MemberState::Dead : found->second.state;
 }
 
+std::vector<std::string>
+Membership::aliveHosts() const
+{
+  std::vector<std::string> hosts{ m_self };
+  for (const auto& [name, member] : m_members) {
+    if (member.state == MemberState::Alive) {
+      hosts.push_back(name);
+    }
+  }
+  return hosts;
+}
+
+bool
+Membership::isInformed() const
+{
+  return m_clock.now() - m_informedSince >= Duration(kInformedAfter);
+}
+
 std::shared_ptr<const MemberSnapshot>
 Membership::makeSnapshot() const
 {
--- a/src/membership_message.cpp
+++ b/src/membership_message.cpp
@@ -60,6 +60,7 @@
   if (aAttach) {
     attach(aMessage);
   }
+  m_broadcaster.takeState(aMessage.items);
   std::string bytes = encode(std::move(aMessage));
   if (bytes.size() > kMaxDatagramBytes) {
     logWrite(LogLevel::Error,
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -142,6 +142,11 @@
   bool isAlive(const std::string& aHost) const;
   /// @returns the state of a listed host; Dead for any other
   MemberState stateOf(const std::string& aHost) const;
+  /// @returns names of the hosts believed alive, this one included
+  std::vector<std::string> aliveHosts() const;
+  /// @returns true when this node has run without a pause for so long that
+  ///          recent messages have reached it
+  bool isInformed() const;
   std::shared_ptr<const MemberSnapshot> makeSnapshot() const;
   /// @returns true when a state changed since the last call
   bool takeChanged();
@@ -265,6 +270,7 @@
   bool m_fastProbing = false;
   Duration m_leaseProbeInterval{ std::chrono::seconds(1) };
   TimePoint m_lastTick;
+  TimePoint m_informedSince; ///< its start or the end of its last pause
   TimePoint m_nextProbe;
   TimePoint m_nextLeaseProbe;
   TimePoint m_nextSeedProbe;
--- a/src/membership_probe.cpp
+++ b/src/membership_probe.cpp
@@ -18,6 +18,9 @@
 /// doesn't inform every node that a host is alive again, and a node's next
 /// regular probe of that host may be minutes away.
 constexpr std::uint32_t kProbesPerRecheck = 8;
+/// Members that get a change of broadcast state at once. Each of them passes it
+/// on likewise, so that it reaches all within a few ticks.
+constexpr std::size_t kStateFanOut = 4;
 
 } // namespace
 
@@ -28,6 +31,9 @@
   if (now - m_lastTick > kPauseThreshold) {
     handlePause();
   }
+  if (m_broadcaster.takeStateChanged()) {
+    announce(kStateFanOut, false);
+  }
   m_lastTick = now;
   checkProbes();
   checkSuspects();
@@ -51,6 +57,7 @@
 {
   const Duration gap = m_clock.now() - m_lastTick;
   ++m_counters.pauses;
+  m_informedSince = m_clock.now();
   m_probes.clear();
   m_indirectPings.clear();
   for (const std::string& host : m_suspects) {
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -206,6 +206,10 @@
     rights.adopt(aView);
     quarantine.setLifts(aView->rules->quarantineLifts);
   });
+  controlPlane.setOnMembers(
+    [this](std::vector<std::string> aHosts, bool aInformed) {
+      quarantine.setHosts(settings.host, std::move(aHosts), aInformed);
+    });
   error = controlPlane.init();
   if (error) {
     return error;
--- a/src/query.cpp
+++ b/src/query.cpp
@@ -121,7 +121,8 @@
     return false;
   }
   Quarantine* const quarantine = m_engine.m_quarantine;
-  if (quarantine != nullptr && quarantine->blocks(m_fingerprint)) {
+  if (quarantine != nullptr &&
+      quarantine->admit(m_fingerprint) == QuarantineVerdict::Refuse) {
     m_error = Errc::Quarantined;
     return false;
   }
--- a/src/query_context_p.h
+++ b/src/query_context_p.h
@@ -47,6 +47,8 @@
   QuerySchedule schedule;
   TimePoint deadline; ///< until which the caller waits
   std::shared_ptr<RequestLosses> losses;
+  /// The request is suspected of crashing servers: only one may get it.
+  bool isTrial = false;
 
   /// @returns what the query's attempts need; refers to this object
   AttemptParams attemptParams() const
--- a/src/request_losses_p.h
+++ b/src/request_losses_p.h
@@ -39,6 +39,8 @@
   void onAnswered();
   /// A server closed the connection while it ran the request.
   void onLost(const std::string& aServer, const std::string& aService);
+  /// Decides on the caller's request, see Quarantine::admit().
+  QuarantineVerdict admit() { return m_quarantine.admit(m_fingerprint); }
   /// @returns true when no further server must get the request
   bool isBlocked() const { return m_quarantine.blocks(m_fingerprint); }
 
--- a/src/single_query.cpp
+++ b/src/single_query.cpp
@@ -46,8 +46,9 @@
 bool
 SingleQuery::maySend() const
 {
-  const std::uint32_t maxRuns =
-    m_query.route->idempotent ? m_query.route->maxAttempts : 1;
+  const std::uint32_t maxRuns = m_query.route->idempotent && !m_query.isTrial
+                                  ? m_query.route->maxAttempts
+                                  : 1;
   return m_sends < kMaxAttempts && m_possibleRuns < maxRuns;
 }
 
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -6,6 +6,7 @@
 #include "gather_query_p.h"
 #include "log_p.h"
 #include "single_query_p.h"
+#include "trial_query_p.h"
 
 namespace toucanridge {
 namespace {
@@ -467,16 +468,26 @@
   query.deadline = aExchange->receivedAt() + deadline;
   query.losses =
     makeLosses(m_deps.quarantine, aExchange->request(), query.callerHeaders);
-  if (query.losses->isBlocked()) {
-    refuse(query, kQuarantineRetryAfter, "quarantined", "");
-    return;
-  }
   const std::string service =
     aRoute.isGather() ? "" : state.targetChoice.next(aRoute.targets);
-  if (m_dispatcher.canReach(aRoute, service)) {
-    runQuery(std::move(query), service);
-  } else {
+  const bool canReach = m_dispatcher.canReach(aRoute, service);
+  if (!canReach && !query.losses->isBlocked()) {
     forward(std::move(query), aFromPeer);
+    return;
+  }
+  const QuarantineVerdict verdict =
+    canReach ? query.losses->admit() : QuarantineVerdict::Refuse;
+  query.isTrial = verdict == QuarantineVerdict::Try;
+  if (verdict == QuarantineVerdict::Refuse) {
+    refuse(query, kQuarantineRetryAfter, "quarantined", "");
+  } else if (query.isTrial && aRoute.isGather()) {
+    std::make_shared<TrialQuery>(
+      m_deps,
+      std::move(query),
+      [this](QueryContext aQuery) { runQuery(std::move(aQuery), {}); })
+      ->start();
+  } else {
+    runQuery(std::move(query), service);
   }
 }
 
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 
@@ -17,23 +18,55 @@
 /// Delivers items to the peer node immediately.
 struct FakeBroadcast final : public BroadcastI
 {
-  void publish(BroadcastKind, std::string aItem) override
+  void publish(BroadcastKind aKind, std::string aItem) override
   {
     CPPUNIT_ASSERT(aItem.size() <= kMaxBroadcastBytes);
     items.push_back(aItem);
-    if (peer != nullptr && peer->receive) {
-      peer->receive("h1", aItem);
+    if (peer != nullptr) {
+      peer->receive(aKind, aItem);
     }
   }
-  void subscribe(BroadcastKind, OnItem aOnItem) override
+  void subscribe(BroadcastKind aKind, OnItem aOnItem) override
   {
-    receive = std::move(aOnItem);
+    receivers[aKind] = std::move(aOnItem);
+  }
+  void setState(BroadcastKind, std::function<std::string()> aNext) override
+  {
+    state = std::move(aNext);
+  }
+  void onStateChanged() override { ++stateChanges; }
+  void receive(BroadcastKind aKind, const std::string& aItem)
+  {
+    receivers.at(aKind)("h1", aItem);
+  }
+  /// One datagram reaches the other node.
+  void sendStateTo(FakeBroadcast& aOther) const
+  {
+    const std::string payload = state();
+    CPPUNIT_ASSERT(payload.size() <= kMaxBroadcastBytes);
+    aOther.receive(BroadcastKind::Quarantine, payload);
   }
   std::vector<std::string> items;
-  OnItem receive;
+  std::map<BroadcastKind, OnItem> receivers;
+  std::function<std::string()> state;
+  int stateChanges = 0;
   FakeBroadcast* peer = nullptr;
 };
 
+/// One host of a fleet.
+struct FakeHost
+{
+  FakeHost(const ClockI& aClock,
+           const std::string& aName,
+           const std::vector<std::string>& aHosts)
+    : quarantine(aClock, &broadcast, { 3, 2 })
+  {
+    quarantine.setHosts(aName, aHosts, true);
+  }
+  FakeBroadcast broadcast;
+  Quarantine quarantine;
+};
+
 struct FakeSender final : public SubRequestSenderI
 {
   void send(const Host&, SubBatch aBatch) override
@@ -74,7 +107,14 @@
   CPPUNIT_TEST(queryNeedsTicket);
   CPPUNIT_TEST(oneAttemptOfManyLossesIsNoQuarantine);
   CPPUNIT_TEST(answeredRequestLeavesNoStrikes);
+  CPPUNIT_TEST(startedHostKnowsQuarantinedRequests);
+  CPPUNIT_TEST(oneHostTriesAfterQuarantine);
+  CPPUNIT_TEST(trialWithoutResultIsRepeatedLater);
+  CPPUNIT_TEST(answerReleasesOnAllHosts);
   CPPUNIT_TEST(oneCrashOfManyAttemptsIsNoQuarantine);
+  CPPUNIT_TEST(fullTableKeepsQuarantinedRequests);
+  CPPUNIT_TEST(staleRecordsChangeNothing);
+  CPPUNIT_TEST(uninformedHostStartsNoTrial);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -154,7 +194,7 @@
     recordLoss(0x1f2e3d4c5b6a7988, "a", "app/1");
     recordLoss(0x1f2e3d4c5b6a7988, "b", "app/1");
     CPPUNIT_ASSERT(m_peerQuarantine.blocks(0x1f2e3d4c5b6a7988));
-    m_peerBroadcast.receive("h1", "garbage");
+    m_peerBroadcast.receive(BroadcastKind::Strike, "garbage");
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_peerQuarantine.status().size());
     CPPUNIT_ASSERT(m_peerQuarantine.status()[0].blocked);
     QuarantineLiftRule lift;
@@ -335,19 +375,209 @@
     CPPUNIT_ASSERT(!quarantine.hasStrikes(kRequest));
   }
 
+  // Guards against a host that lets a quarantined request through because it
+  // started, or was cut off, after the strikes had been broadcast.
+  void startedHostKnowsQuarantinedRequests()
+  {
+    makeFleet(2);
+    quarantineOn(0);
+    CPPUNIT_ASSERT(!blocks(1));
+    m_fleet[0]->broadcast.sendStateTo(m_fleet[1]->broadcast);
+    CPPUNIT_ASSERT(blocks(1));
+    CPPUNIT_ASSERT(QuarantineVerdict::Refuse ==
+                   m_fleet[1]->quarantine.admit(kRequest));
+    // It knows that the request is suspected, so that one loss is enough.
+    m_fleetClock.advance(Quarantine::kFirstQuarantine);
+    CPPUNIT_ASSERT(!blocks(1));
+    loseServers(m_fleet[1]->quarantine, 9, 1, 30);
+    m_fleetClock.advance(minutes(9));
+    CPPUNIT_ASSERT(blocks(1));
+  }
+
+  // Guards against trials by all hosts in the moment in which a quarantine ends
+  // at all of them.
+  void oneHostTriesAfterQuarantine()
+  {
+    makeFleet(8);
+    quarantineOn(0);
+    exchange();
+    m_fleetClock.advance(Quarantine::kFirstQuarantine);
+    for (int second = 0; second < 40; ++second) {
+      setHosts();
+      int trials = 0;
+      for (auto& host : m_fleet) {
+        // No host hears of a trial in the same moment.
+        trials +=
+          host->quarantine.admit(kRequest) == QuarantineVerdict::Try ? 1 : 0;
+      }
+      CPPUNIT_ASSERT_EQUAL(second == 0 ? 1 : 0, trials);
+      exchange();
+      m_fleetClock.advance(seconds(second == 0 ? 0 : 1));
+      if (second == 0) {
+        const auto trier =
+          std::find_if(m_fleet.begin(), m_fleet.end(), [](const auto& aHost) {
+            return !aHost->quarantine.blocks(kRequest) &&
+                   aHost->quarantine.hasStrikes(kRequest);
+          });
+        loseServers((*trier)->quarantine, 8, 1, 30);
+        exchange();
+      }
+    }
+  }
+
+  // Guards against trials in quick succession while their results are lost.
+  void trialWithoutResultIsRepeatedLater()
+  {
+    makeFleet(3);
+    quarantineOn(0);
+    exchange();
+    int trials = 0;
+    for (int second = 0; second < 120; ++second) {
+      setHosts();
+      for (auto& host : m_fleet) {
+        trials +=
+          host->quarantine.admit(kRequest) == QuarantineVerdict::Try ? 1 : 0;
+      }
+      exchange();
+      m_fleetClock.advance(seconds(1));
+    }
+    CPPUNIT_ASSERT_EQUAL(3, trials); // after 10, 20 and 40 s
+  }
+
+  // Guards against a harmless request that other hosts refuse after one of them
+  // has seen it answered, and against records that bring the quarantine back.
+  void answerReleasesOnAllHosts()
+  {
+    makeFleet(3);
+    quarantineOn(0);
+    exchange();
+    const std::string record = m_fleet[2]->broadcast.state();
+    m_fleet[1]->quarantine.clearStrikes(kRequest);
+    exchange();
+    m_fleet[0]->broadcast.receive(BroadcastKind::Quarantine, record);
+    for (auto& host : m_fleet) {
+      CPPUNIT_ASSERT(QuarantineVerdict::Run ==
+                     host->quarantine.admit(kRequest));
+      CPPUNIT_ASSERT(host->quarantine.status().empty());
+    }
+    // Without a quarantine, the answer travels as a broadcast.
+    m_fleet[0]->broadcast.peer = &m_fleet[1]->broadcast;
+    loseServers(m_fleet[0]->quarantine, 5, 1);
+    CPPUNIT_ASSERT(m_fleet[1]->quarantine.hasStrikes(kRequest));
+    m_fleet[0]->quarantine.clearStrikes(kRequest);
+    CPPUNIT_ASSERT(!m_fleet[1]->quarantine.hasStrikes(kRequest));
+  }
+
   // Guards against the quarantine of a popular request of which several
   // attempts ran on one server as it crashed.
   void oneCrashOfManyAttemptsIsNoQuarantine()
   {
-    ManualClock clock;
-    Quarantine quarantine(clock, nullptr, { 3, 2 });
+    makeFleet(1);
     for (std::uint64_t attempt = 1; attempt <= 5; ++attempt) {
-      loseServers(quarantine, attempt, 1);
+      loseServers(m_fleet[0]->quarantine, attempt, 1);
     }
-    CPPUNIT_ASSERT(!quarantine.blocks(kRequest));
+    CPPUNIT_ASSERT(!blocks(0));
+  }
+
+  // Guards against a quarantine that ends because many other requests have
+  // strikes.
+  void fullTableKeepsQuarantinedRequests()
+  {
+    makeFleet(1);
+    quarantineOn(0);
+    for (std::uint64_t i = 0; i < 2000; ++i) {
+      m_fleetClock.advance(milliseconds(1));
+      m_fleet[0]->quarantine.recordStrike({ 1000 + i, i, 1, m_unixMs, 1 });
+    }
+    CPPUNIT_ASSERT(blocks(0));
+    CPPUNIT_ASSERT_EQUAL(Quarantine::kMaxEntries,
+                         m_fleet[0]->quarantine.status().size());
+  }
+
+  // Guards against records that are extended each time they pass between hosts,
+  // and against malformed ones.
+  void staleRecordsChangeNothing()
+  {
+    makeFleet(2);
+    quarantineOn(0);
+    for (int i = 0; i < 100; ++i) {
+      m_fleetClock.advance(milliseconds(200));
+      exchange();
+    }
+    CPPUNIT_ASSERT(!blocks(0) && !blocks(1));
+    CPPUNIT_ASSERT(m_fleet[1]->broadcast.stateChanges <= 1);
+    m_fleet[1]->broadcast.receive(BroadcastKind::Quarantine, "malformed");
+    m_fleet[1]->broadcast.receive(
+      BroadcastKind::Quarantine,
+      std::string(QuarantineRecord::kBytes, '\xff')); // no such state
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         m_fleet[1]->quarantine.status().size());
+  }
+
+  // Guards against a trial by a host that has just started or was paused and
+  // may not have heard of another host's.
+  void uninformedHostStartsNoTrial()
+  {
+    makeFleet(1);
+    quarantineOn(0);
+    m_fleetClock.advance(Quarantine::kFirstQuarantine);
+    m_fleet[0]->quarantine.setHosts("host-0", { "host-0" }, false);
+    CPPUNIT_ASSERT(QuarantineVerdict::Refuse ==
+                   m_fleet[0]->quarantine.admit(kRequest));
+    setHosts();
+    m_fleetClock.advance(seconds(8)); // paused: its list of hosts is old
+    CPPUNIT_ASSERT(QuarantineVerdict::Refuse ==
+                   m_fleet[0]->quarantine.admit(kRequest));
+    setHosts();
+    CPPUNIT_ASSERT(QuarantineVerdict::Try ==
+                   m_fleet[0]->quarantine.admit(kRequest));
   }
 
 private:
+  void makeFleet(int aHosts)
+  {
+    m_fleet.clear();
+    m_names.clear();
+    for (int i = 0; i < aHosts; ++i) {
+      m_names.push_back("host-" + std::to_string(i));
+    }
+    for (const std::string& name : m_names) {
+      m_fleet.push_back(
+        std::make_unique<FakeHost>(m_fleetClock, name, m_names));
+    }
+  }
+  void setHosts()
+  {
+    for (std::size_t i = 0; i < m_fleet.size(); ++i) {
+      m_fleet[i]->quarantine.setHosts(m_names[i], m_names, true);
+    }
+  }
+  void quarantineOn(std::size_t aHost)
+  {
+    loseServers(m_fleet[aHost]->quarantine, 1, 3);
+    loseServers(m_fleet[aHost]->quarantine, 2, 4);
+    CPPUNIT_ASSERT(blocks(aHost));
+  }
+  bool blocks(std::size_t aHost)
+  {
+    return m_fleet[aHost]->quarantine.blocks(kRequest);
+  }
+  /// Each host's next datagram reaches all others.
+  void exchange()
+  {
+    for (auto& from : m_fleet) {
+      for (auto& to : m_fleet) {
+        if (from != to) {
+          from->broadcast.sendStateTo(to->broadcast);
+        }
+      }
+    }
+  }
+
+  ManualClock m_fleetClock;
+  std::vector<std::string> m_names;
+  std::vector<std::unique_ptr<FakeHost>> m_fleet;
+
   static constexpr std::uint64_t kRequest = 42;
 
   static void loseServers(Quarantine& aQuarantine,
