--- a/soak/checks.py
+++ b/soak/checks.py
@@ -172,8 +172,11 @@
             if run.remaining_ms / 1000 > max(remaining_s, 0) + 0.5 and \
                     not near_unplanned_event(ledger, attempt.sent_at,
                                              run.started_at):
-                found.append("%s was given %.0f ms, %.0f ms were left" % (
-                    run.request, run.remaining_ms, remaining_s * 1000))
+                found.append(
+                    "%s was given %.0f ms, %.0f ms were left (the caller "
+                    "took %.0f ms to connect and write)" % (
+                        run.request, run.remaining_ms, remaining_s * 1000,
+                        (attempt.written_at - attempt.sent_at) * 1000))
     return found if len(found) > 20 else []
 
 
