--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -25,8 +25,8 @@
 /// Most strikes logged in a second: the loss of a network loses many requests.
 constexpr std::uint32_t kMaxStrikeLinesPerSecond = 20;
 
-/// Records of answered requests are kept for this long, so that they reach
-/// hosts that still hold the request.
+/// Strikes, and records whose period has ended, are kept for this long. An
+/// answered request's record has to reach the hosts that still hold it.
 constexpr std::chrono::minutes kKeepTime{ 10 };
 /// Most records in one datagram.
 constexpr std::size_t kMaxRecordsSent =
