--- a/soak/faults.py
+++ b/soak/faults.py
@@ -222,7 +222,7 @@
 
 
 async def pause_in_turn(fleet, until):
-    """Freezes each host for longer than the first quarantine lasts."""
+    """Freezes two hosts in turn, each for longer than the first quarantine."""
     for node in fleet.nodes[:2]:
         if node.deliver_signal(signal.SIGSTOP):
             await record_event_for(fleet, "pause", node.name, 11.0)
--- a/src/trial_query.cpp
+++ b/src/trial_query.cpp
@@ -36,7 +36,7 @@
       {},
       AttemptKind::First,
       {},
-      [self = shared_from_this()](AttemptResult aResult) {
+      [self = shared_from_this()](const AttemptResult& aResult) {
         self->onResult(aResult);
       });
     if (m_attempt) {
