Log what arrived before a connection between hosts was lost, and replies to fetches

The lines of a host that lags behind didn't say whether its connections were silent or only slow: link-lost now has the bytes received since the last message written, and items-reply marks a reply to a fetch with its size. No decision has changed.

--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -144,6 +144,11 @@
                              ? decode<ItemChanges>(aPayload)
                              : std::nullopt;
       if (changes) {
+        logWrite(LogLevel::Info,
+                 LogLine("items-reply")
+                   .add("peer", aHost)
+                   .add("to", changes->to)
+                   .add("bytes", aPayload.size()));
         applyItems(*changes, aHost.c_str());
         m_adapter.source.skipTo(m_items.revision());
         m_fetchSchedule.onReply(aHost);
--- a/src/frame_stream.cpp
+++ b/src/frame_stream.cpp
@@ -156,32 +156,47 @@
              [this, self, aReason] { closeNow(aReason); });
 }
 
+/// Fills a buffer, and counts the bytes as they arrive.
 void
-FrameStream::readHeader()
+FrameStream::read(asio::mutable_buffer aBuffer, std::function<void()> aOnRead)
 {
   auto self = shared_from_this();
   asio::async_read(
     m_socket,
-    asio::buffer(m_header),
-    [this, self](const boost::system::error_code& aError, std::size_t) {
+    aBuffer,
+    [this, self, size = aBuffer.size(), counted = std::size_t(0)](
+      const boost::system::error_code& aError, std::size_t aBytes) mutable {
+      m_bytesSinceWrite += aBytes - counted;
+      counted = aBytes;
+      return aError ? 0 : size - aBytes;
+    },
+    [this, self, onRead = std::move(aOnRead)](
+      const boost::system::error_code& aError, std::size_t) {
       if (aError) {
         closeNow("read-failed");
-        return;
-      }
-      const std::uint32_t size = payloadSize(m_header);
-      if (size > m_frameLimit) {
-        logWrite(LogLevel::Warn,
-                 LogLine("frame-refused")
-                   .add("bytes", size)
-                   .add("limit", m_frameLimit));
-        closeNow("frame-too-large");
-        return;
+      } else {
+        onRead();
       }
-      m_payload.clear();
-      readPayload(size, static_cast<MessageType>(m_header[4]));
     });
 }
 
+void
+FrameStream::readHeader()
+{
+  read(asio::buffer(m_header), [this] {
+    const std::uint32_t size = payloadSize(m_header);
+    if (size > m_frameLimit) {
+      logWrite(
+        LogLevel::Warn,
+        LogLine("frame-refused").add("bytes", size).add("limit", m_frameLimit));
+      closeNow("frame-too-large");
+      return;
+    }
+    m_payload.clear();
+    readPayload(size, static_cast<MessageType>(m_header[4]));
+  });
+}
+
 /// Reads the rest of a payload in chunks: memory grows with the bytes received,
 /// not with the length that the header claims.
 void
@@ -197,17 +212,10 @@
   const std::size_t offset = m_payload.size();
   const std::size_t chunk = std::min(aRemaining, kReadChunkBytes);
   m_payload.resize(offset + chunk);
-  auto self = shared_from_this();
-  asio::async_read(m_socket,
-                   asio::buffer(&m_payload[offset], chunk),
-                   [this, self, aType, remaining = aRemaining - chunk](
-                     const boost::system::error_code& aError, std::size_t) {
-                     if (aError) {
-                       closeNow("read-failed");
-                       return;
-                     }
-                     readPayload(remaining, aType);
-                   });
+  read(asio::buffer(&m_payload[offset], chunk),
+       [this, aType, remaining = aRemaining - chunk] {
+         readPayload(remaining, aType);
+       });
 }
 
 void
@@ -265,6 +273,7 @@
 {
   if (m_receivedSinceWrite) {
     m_receivedSinceWrite = false;
+    m_bytesSinceWrite = 0;
     m_waitingSince = steady_clock::now();
   }
   if (m_silenceCheckPending) {
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -237,7 +237,10 @@
         }
       }
       logWrite(LogLevel::Info,
-               LogLine("link-lost").add("peer", aHost).add("reason", aReason));
+               LogLine("link-lost")
+                 .add("peer", aHost)
+                 .add("reason", aReason)
+                 .add("received", key->bytesSinceWrite()));
       m_handlers.onLost(aHost, aUnsent);
     });
   stream->send(MessageType::Hello, encode(m_self));
--- a/src/peer_link_p.h
+++ b/src/peer_link_p.h
@@ -57,6 +57,10 @@
 
   /// @returns number of frames that are not written to the socket yet
   std::uint32_t pendingFrames() const { return m_pending; }
+  /// @returns number of bytes received since the last frame was written; call
+  /// it
+  ///          from OnClose
+  std::size_t bytesSinceWrite() const { return m_bytesSinceWrite; }
   /// Sets the largest payload to accept. Call it on the stream's strand or
   /// before the stream starts.
   void setFrameLimit(std::size_t aBytes) { m_frameLimit = aBytes; }
@@ -70,6 +74,7 @@
   };
 
   void open();
+  void read(boost::asio::mutable_buffer aBuffer, std::function<void()> aOnRead);
   void readHeader();
   void readPayload(std::size_t aRemaining, MessageType aType);
   void handleFrame(MessageType aType, std::string aPayload);
@@ -92,6 +97,7 @@
   bool m_closed = false;
   bool m_silenceCheckPending = false;
   bool m_receivedSinceWrite = true; ///< a frame arrived since the last write
+  std::size_t m_bytesSinceWrite = 0;
   std::chrono::steady_clock::time_point m_waitingSince;
 };
 
