Known red: hosts behind silent and slow links between hosts

The soak had no proxy between hosts. A new check asks for a version at each host that has had no trouble for 4 s, whatever happened to others.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -256,6 +256,21 @@
     return found
 
 
+def config_in_force_at_sound_hosts(ledger):
+    """A host that has had no trouble for a while uses a configuration version
+    in time, whatever happened to others."""
+    return ["%s, without trouble, lacks version %d %.2f s after it was put" % (
+        probe.attempt.node, probe.version,
+        probe.attempt.sent_at - probe.put_at)
+            for probe in ledger.probes
+            if probe.expected and probe.attempt.answer and
+            probe.attempt.answer.status == 404 and
+            probe.attempt.sent_at > probe.put_at + CONFIG_LIMIT_S and
+            not near_unplanned_event(ledger, probe.attempt.sent_at,
+                                     probe.attempt.ended_at,
+                                     [probe.attempt.node])]
+
+
 def no_false_client_errors(ledger):
     """Well-formed requests aren't answered with a 4xx of the host's own. A few
     are tolerated: 5, and one in 500 attempts."""
@@ -325,6 +340,7 @@
 
 CHECKS = [correct_answers, requests_unchanged, at_most_once, attempt_limit,
           retry_budget, forwarded_deadline, deadlines_met, no_requests_lost,
-          no_work_after_drain, config_propagation, no_false_client_errors,
+          no_work_after_drain, config_propagation,
+          config_in_force_at_sound_hosts, no_false_client_errors,
           no_work_after_disconnect, crashing_requests_held,
           innocent_requests_not_held, recovery]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -185,12 +185,55 @@
     fleet.evacuated.discard(zone)
 
 
+async def peers_silent(fleet, rng):
+    """The open connections of some or all hosts, to each other and to the
+    store, fall silent for good just before a change; new ones work."""
+    nodes = rng.choice([fleet.nodes, rng.sample(fleet.nodes, 3)])
+    for node in nodes:
+        fleet.ledger.add_event("connections silent", node.name)
+        node.store_proxy.silence()
+    fleet.peers.silence({node.ip for node in nodes})
+    fleet.next_version_at = now() + rng.uniform(0.0, 1.0)
+
+
+async def peers_slow(fleet, rng):
+    """The links of some hosts carry each read later."""
+    nodes = rng.sample(fleet.nodes, 3)
+    delay_s = rng.uniform(0.1, 0.4)
+    pairs = [frozenset((a.ip, b.ip)) for a in nodes for b in fleet.nodes
+             if a is not b]
+    fleet.peers.delays.update({pair: delay_s for pair in pairs})
+    await asyncio.gather(*(record_event_for(
+        fleet, "peers slow", node.name, 4.0) for node in nodes))
+    for pair in pairs:
+        fleet.peers.delays.pop(pair, None)
+
+
+async def peers_one_way(fleet, rng):
+    """What some hosts send to certain peers doesn't arrive for a while."""
+    pairs = set()
+    while len(pairs) < 6:
+        sender, receiver = rng.sample(fleet.nodes, 2)
+        pairs.add((sender, receiver))
+    addresses = {(sender.ip, receiver.ip) for sender, receiver in pairs}
+    fleet.peers.blocked |= addresses
+    seconds = rng.uniform(1.0, 4.0)
+    await asyncio.gather(*(record_event_for(
+        fleet, "peers one way", name, seconds)
+        for name in sorted({node.name for pair in pairs for node in pair})))
+    fleet.peers.blocked -= addresses
+
+
 PLANNED_FAULTS = [node_term, rolling_restart, node_reload, server_drain,
                   change_configuration, reshard, evacuate]
 UNPLANNED_FAULTS = [node_pause, node_kill, all_killed, caller_links, store_link,
                     server_links, store_down, store_slow, store_compacts,
                     server_misbehaves, server_crash]
 
+# Beside a change of the configuration every few seconds.
+LINK_FAULTS = [peers_silent, peers_silent, peers_slow, peers_one_way,
+               node_term, node_kill]
+
 
 async def no_trouble(fleet, until):
     """The hosts run all the time."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,15 +1,17 @@
 """A loopback TCP proxy that injects faults into its connections."""
 import asyncio
 
-PASS, DELAY, CUT, CUT_IN, CUT_OUT, RESET = (
-    "pass", "delay", "cut", "cut-in", "cut-out", "reset")
+PASS, DELAY, CUT, CUT_IN, CUT_OUT, RESET, HOLD = (
+    "pass", "delay", "cut", "cut-in", "cut-out", "reset", "hold")
+READ_BYTES = 65536
 
 
 class Proxy:
     """Forwards connections from one address to another. `CUT` drops all bytes
     in both directions, `CUT_IN` those to the target, `CUT_OUT` those from it;
-    these bytes are lost. `RESET` resets new connections. Silenced connections
-    stay open and carry nothing for good."""
+    these bytes are lost. `HOLD` keeps them until it ends, as TCP does when it
+    sends them again. `RESET` resets new connections. Silenced connections stay
+    open and carry nothing for good."""
 
     def __init__(self, listen, target):
         self.listen = listen
@@ -23,6 +25,14 @@
         self.server = await asyncio.start_server(
             self._accept, self.listen[0], self.listen[1])
 
+    def mode_of(self, link):
+        """The mode in which a connection is forwarded now."""
+        return self.mode
+
+    def delay_of(self, link):
+        """The time for which each of its reads is held, in seconds."""
+        return self.delay_s
+
     def refuse(self):
         """Refuses connections from now on, as the address of an ended process
         does, and resets the open ones."""
@@ -62,6 +72,7 @@
         self.writer = writer
         self.target_writer = None
         self.silent = False
+        self.source_ip = (writer.get_extra_info("peername") or [""])[0]
 
     def abort(self):
         for writer in (self.writer, self.target_writer):
@@ -69,7 +80,7 @@
                 writer.transport.abort()
 
     async def run(self):
-        while self.proxy.mode in (CUT, CUT_IN, CUT_OUT):
+        while self.proxy.mode_of(self) in (CUT, CUT_IN, CUT_OUT, HOLD):
             # A new connection is established only after the cut.
             await asyncio.sleep(0.02)
             if self.writer.transport.is_closing():
@@ -87,13 +98,15 @@
     async def _forward(self, reader, writer, cut_mode):
         try:
             while True:
-                data = await reader.read(65536)
-                if self.silent or self.proxy.mode in (CUT, cut_mode):
+                data = await reader.read(READ_BYTES)
+                while self.proxy.mode_of(self) == HOLD:
+                    await asyncio.sleep(0.02)
+                if self.silent or self.proxy.mode_of(self) in (CUT, cut_mode):
                     if not data:
                         return   # a cut hides the close as well
                     continue
-                if self.proxy.delay_s > 0:
-                    await asyncio.sleep(self.proxy.delay_s)
+                if self.proxy.delay_of(self) > 0:
+                    await asyncio.sleep(self.proxy.delay_of(self))
                 if not data:
                     writer.close()
                     return
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,15 +6,17 @@
 promises from what callers and servers observed.
 
 Usage: run.py PROGRAM [--seeds FIRST-LAST,...] [--seconds N] [--nodes N]
-              [--jobs N] [--trouble none|planned|all|crashing]
+              [--jobs N] [--trouble none|planned|all|crashing|links]
               [--older PROGRAM] [--keep DIRECTORY]
 Exit status 1 when a promise was broken. Every third seed has planned events
 only, so that the bounds that hold during those are checked too; every second
 one of the others has a request that crashes the servers which run it. With
 --trouble crashing, each seed has such a request beside one kind of trouble at
-the hosts (faults.CRASHING_PLAYS, by turns). With --older, a build of another
-version, the hosts are replaced in turn during the run: by PROGRAM in even
-seeds, by the older build in odd ones.
+the hosts (faults.CRASHING_PLAYS, by turns). With --trouble links, the hosts
+reach each other through proxies; the connections between them and to the store
+fall silent, slow down or lose one direction while the configuration changes.
+With --older, a build of another version, the hosts are replaced in turn during
+the run: by PROGRAM in even seeds, by the older build in odd ones.
 """
 import argparse
 import asyncio
@@ -29,6 +31,7 @@
 
 import checks
 import faults
+import peers
 import proxy
 import world
 from world import now
@@ -38,6 +41,7 @@
 POPULAR_SHARE = 0.1     # of requests that have a target in common
 RECOVERY_S = 6.0        # after the last fault, before the final requests
 FINAL_REQUESTS = 40
+MORE_ROUTES = 600       # of a large configuration
 GRACE_S = 6.0
 READY_LIMIT_S = 8.0
 # The event loop of the stand-ins is checked for delays of its own at this
@@ -61,6 +65,7 @@
         self.name = "host-%d" % index
         self.zone = ZONES[index % len(ZONES)]
         self.ip = fleet.ip(0, index)
+        self.peer_ip = fleet.ip(6, index) if fleet.peers else self.ip
         self.program = fleet.first_program
         self.process = None
         self.exit_expected = False
@@ -76,7 +81,8 @@
         self.log = open(os.path.join(fleet.directory, self.name + ".log"), "ab")
 
     def write_settings(self):
-        seeds = ",".join("%s:8106" % self.fleet.ip(0, i) for i in range(3))
+        seeds = ",".join("%s:8106" % node.peer_ip
+                         for node in self.fleet.nodes[:3])
         lines = ["node_name=" + self.name, "zone=" + self.zone, "region=r",
                  "listen.frontend=%s:%d" % (self.ip, CALLER_PORT),
                  "listen.readiness=%s:%d" % (self.ip, READINESS_PORT),
@@ -202,6 +208,11 @@
         self.version = 0
         self.version_put = 0.0
         self.generation = 0
+        self.next_version_at = 0.0
+        self.peers = None
+        if options.trouble == "links":
+            self.peers = peers.PeerNetwork("127.%d.0." % net,
+                                           "127.%d.6." % net)
         self.nodes = [Node(self, i) for i in range(options.nodes)]
         self.callers = world.Caller(
             self, {node.name: node.caller_proxy.listen for node in self.nodes})
@@ -231,6 +242,9 @@
         shards = self.shards()
         routes = [route.document(shards) for route in self.routes]
         routes.append(self.version_route(self.version).document(shards))
+        routes += [world.Route("more-%d" % i, "/more-%d/" % i, 300, 2000, True,
+                               "GET", gather=True).document(shards)
+                   for i in range(MORE_ROUTES if self.peers else 0)]
         services = [{"name": name, "health_path": "/health",
                      "max_connections": 30, "warmup_per_s": 0.0}
                     for name in self.services()]
@@ -336,6 +350,8 @@
         for node in self.nodes:
             await node.store_proxy.start()
             await node.caller_proxy.start()
+            if self.peers:
+                await self.peers.add_host(node.ip, node.peer_ip)
             node.write_settings()
             node.start()
         until = now() + READY_LIMIT_S
@@ -425,14 +441,17 @@
         """Starts faults one after the other; they may overlap."""
         if self.options.trouble in ("none", "crashing"):
             return
-        kinds = faults.PLANNED_FAULTS if self.planned_only \
+        kinds = faults.LINK_FAULTS if self.peers \
+            else faults.PLANNED_FAULTS if self.planned_only \
             else faults.PLANNED_FAULTS + faults.UNPLANNED_FAULTS * 2
         running = set()
         # Separate generators make the faults of a seed the same in every run.
         series = random.Random("series %d" % self.seed)
         self.faults_began = now()
         while now() < until:
-            await asyncio.sleep(series.uniform(0.2, 2.5))
+            # After a fault at the links the hosts are owed time to recover.
+            await asyncio.sleep(series.uniform(4.5, 7.0) if self.peers
+                                else series.uniform(0.2, 2.5))
             kind = series.choice(kinds)
             print("%6.2f %s" % (now() - self.faults_began, kind.__name__),
                   file=self.trace)
@@ -440,6 +459,19 @@
             running.add(asyncio.ensure_future(kind(self, rng)))
         await asyncio.gather(*running)
 
+    async def change_regularly(self, until):
+        """Puts a version once the last one is due everywhere, and other items
+        in between, so that hosts fetch from many peers."""
+        rng = random.Random("changes %d" % self.seed)
+        while now() < until:
+            await asyncio.sleep(rng.uniform(0.2, 0.8))
+            if now() > self.next_version_at:
+                self.next_version_at = now() + checks.CONFIG_LIMIT_S + \
+                    rng.uniform(1.5, 4.0)
+                self.configure()
+            else:
+                self.store.put("other/item", b"%f" % now())
+
     async def watch_stand_in_delay(self):
         """Records when the event loop of the stand-ins was held up: they then
         observe messages later than the hosts sent them."""
@@ -482,6 +514,8 @@
                     until, faults.CRASHING_PLAYS[0]))
             if self.options.older:
                 tasks.append(faults.replace_each(self))
+            if self.peers:
+                tasks.append(self.change_regularly(until - 5.0))
             await asyncio.gather(*tasks)
             await asyncio.gather(*self.returns)
             await self.finish()
@@ -538,7 +572,7 @@
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--trouble", default="all",
-                        choices=["none", "planned", "all", "crashing"])
+                        choices=["none", "planned", "all", "crashing", "links"])
     parser.add_argument("--older")
     parser.add_argument("--keep")
     options = parser.parse_args()
--- a/tests/fetch_schedule_test.cpp
+++ b/tests/fetch_schedule_test.cpp
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 #include "fetch_schedule_p.h"
 
 using namespace toucanridge;
@@ -11,6 +13,7 @@
   CPPUNIT_TEST(fetchesAfterOneDigest);
   CPPUNIT_TEST(fetchesNothingThatArrivedMeanwhile);
   CPPUNIT_TEST(asksAnotherPeerWhenNoReplyArrives);
+  CPPUNIT_TEST(asksEachPeerOnceBeforeAnyTwice);
   CPPUNIT_TEST(fetchesAtOnceWithoutDelay);
   CPPUNIT_TEST_SUITE_END();
 
@@ -45,6 +48,22 @@
                          fetchedWithin(milliseconds(1500), { 7, 3 }));
   }
 
+  // Guards against fetches from the peer that is heard most often alone, while
+  // its replies don't arrive.
+  void asksEachPeerOnceBeforeAnyTwice()
+  {
+    for (const char* host : { "near-1", "near-2", "near-3" }) {
+      m_schedule.onPeerAhead(peer(host, 8), false);
+    }
+    std::set<std::string> asked;
+    for (int i = 0; i < 20; ++i) {
+      m_schedule.onPeerAhead(peer("near-3", 8), false);
+      asked.insert(fetchedWithin(milliseconds(100), { 7, 3 }));
+    }
+    asked.erase("");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), asked.size());
+  }
+
   // Guards against a wait of hosts that have no items yet, or hear of a change
   // from a neighbour.
   void fetchesAtOnceWithoutDelay()
--- a/tests/peer_link_test.cpp
+++ b/tests/peer_link_test.cpp
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include "peer_link_p.h"
+#include "published_items_p.h"
 
 using namespace toucanridge;
 using std::chrono::milliseconds;
@@ -25,6 +26,7 @@
 namespace {
 
 constexpr const char* kAddress = "127.62.5.1";
+constexpr const char* kSlowAddress = "127.62.5.2";
 constexpr std::uint16_t kPort = 8402;
 constexpr std::size_t kMegabyte = 1U << 20U;
 
@@ -86,6 +88,61 @@
   tcp::socket m_socket;
 };
 
+/// Forwards one connection to kAddress; the bytes from there pass slowly.
+class SlowLink
+{
+public:
+  SlowLink()
+    : m_acceptor(m_context,
+                 { boost::asio::ip::make_address(kSlowAddress), kPort })
+    , m_client(m_context)
+    , m_server(m_context)
+    , m_thread([this] { run(); })
+  {
+  }
+  ~SlowLink()
+  {
+    m_stop = true;
+    m_thread.join();
+  }
+
+private:
+  static constexpr std::size_t kBytesPerStep = 50000;
+  static constexpr milliseconds kStep{ 50 };
+
+  /// @returns the bytes that were forwarded
+  static std::size_t forward(tcp::socket& aFrom, tcp::socket& aTo)
+  {
+    boost::system::error_code error;
+    const std::size_t available = aFrom.available(error);
+    std::string data(std::min(available, kBytesPerStep), ' ');
+    data.resize(aFrom.read_some(boost::asio::buffer(data), error));
+    return boost::asio::write(aTo, boost::asio::buffer(data), error);
+  }
+
+  void run()
+  {
+    m_acceptor.accept(m_client);
+    m_server.open(tcp::v4());
+    m_server.set_option(tcp::socket::receive_buffer_size(kBytesPerStep));
+    m_server.connect({ boost::asio::ip::make_address(kAddress), kPort });
+    m_client.non_blocking(true);
+    m_server.non_blocking(true);
+    while (!m_stop) {
+      forward(m_client, m_server);
+      forward(m_server, m_client);
+      std::this_thread::sleep_for(kStep);
+    }
+  }
+
+  boost::asio::io_context m_context;
+  tcp::acceptor m_acceptor;
+  tcp::socket m_client;
+  tcp::socket m_server;
+  std::atomic<bool> m_stop{ false };
+  std::thread m_thread;
+};
+
 } // namespace
 
 class PeerLinkTest : public CppUnit::TestFixture
@@ -96,6 +153,7 @@
   CPPUNIT_TEST(boundsMemoryOfClaimedLengths);
   CPPUNIT_TEST(boundsConnectionsWithoutHello);
   CPPUNIT_TEST(survivesRandomFrames);
+  CPPUNIT_TEST(longReplyOverSlowLinkIsNoSilence);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,11 +165,17 @@
     handlers.onRequest = [this](const std::string&,
                                 MessageType aType,
                                 const std::string& aPayload,
-                                const PeerLinks::Reply&) {
-      onRequest(aType, aPayload);
-    };
-    handlers.onReply = [](const std::string&, MessageType, const std::string&) {
+                                const PeerLinks::Reply& aReply) {
+      if (aType == MessageType::ItemsFetch) {
+        aReply(MessageType::ItemChanges, std::string(kLongReply, 'r'));
+      } else {
+        onRequest(aType, aPayload);
+      }
     };
+    handlers.onReply =
+      [this](const std::string&, MessageType, const std::string& aPayload) {
+        m_replyBytes += aPayload.size();
+      };
     handlers.onLost = [](const std::string&,
                          const std::vector<std::uint64_t>&) {};
     CPPUNIT_ASSERT(!m_links->init(kAddress, kPort, std::move(handlers)));
@@ -242,7 +306,26 @@
     assertStillServing();
   }
 
+  // Guards against a large configuration that never arrives: its reply takes
+  // longer than a peer may be silent, and each retry starts from nothing.
+  void longReplyOverSlowLinkIsNoSilence()
+  {
+    const SlowLink link;
+    m_links->send("peer",
+                  kSlowAddress,
+                  kPort,
+                  MessageType::ItemsFetch,
+                  encode(ItemsFetch{}),
+                  0);
+    for (int i = 0; i < 1000 && m_replyBytes < kLongReply; ++i) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(kLongReply, m_replyBytes.load());
+  }
+
 private:
+  static constexpr std::size_t kLongReply = 3 * kMegabyte;
+
   static std::string hello()
   {
     return frame(MessageType::Hello, encode(Hello{ "peer", 3 }));
@@ -286,6 +369,7 @@
   std::unique_ptr<PeerLinks> m_links;
   std::thread m_thread;
   std::atomic<int> m_decoded{ 0 };
+  std::atomic<std::size_t> m_replyBytes{ 0 };
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerLinkTest);
