A long message over a slow link between hosts is no silence

Callers saw: with a large configuration and a link that carries it in more than a second, a host never got it, refused its new routes and ran its old ones.

Cause: a connection counted as silent when no whole message had arrived for a second. The bytes of a long one didn't count, and its sender saw nothing at all until the last of them, as its pings wait behind them. Each retry started from nothing.

A link that stalls is still found after a second.

--- a/src/frame_stream.cpp
+++ b/src/frame_stream.cpp
@@ -12,8 +12,8 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds kSilenceCheckInterval{ 250 };
-/// A peer that sends nothing, not even the reply to a ping, for this long is
-/// considered unresponsive. TCP itself would take minutes to detect it.
+/// A peer of which no byte arrives, not even of the reply to a ping, for this
+/// long is considered unresponsive. TCP itself would take minutes to detect it.
 constexpr milliseconds kSilenceTimeout{ 1000 };
 
 /// Most bytes that a single read waits for.
@@ -166,8 +166,11 @@
     aBuffer,
     [this, self, size = aBuffer.size(), counted = std::size_t(0)](
       const boost::system::error_code& aError, std::size_t aBytes) mutable {
-      m_bytesSinceWrite += aBytes - counted;
-      counted = aBytes;
+      if (aBytes > counted) {
+        m_bytesSinceWrite += aBytes - counted;
+        m_waitingSince = steady_clock::now();
+        counted = aBytes;
+      }
       return aError ? 0 : size - aBytes;
     },
     [this, self, onRead = std::move(aOnRead)](
@@ -214,6 +217,10 @@
   m_payload.resize(offset + chunk);
   read(asio::buffer(&m_payload[offset], chunk),
        [this, aType, remaining = aRemaining - chunk] {
+         if (remaining > 0) {
+           // The sender's pings wait behind the rest of the frame.
+           send(MessageType::Pong, encode(Ping{}));
+         }
          readPayload(remaining, aType);
        });
 }
@@ -221,7 +228,7 @@
 void
 FrameStream::handleFrame(MessageType aType, std::string aPayload)
 {
-  m_receivedSinceWrite = true;
+  m_receivedSinceWrite |= !m_writing;
   if (aType == MessageType::Ping && aPayload.size() > kMaxPingBytes) {
     closeNow("ping-too-large");
   } else if (aType == MessageType::Ping) {
@@ -265,9 +272,9 @@
     });
 }
 
-/// Schedules a check that closes the stream if the peer sends nothing for
-/// kSilenceTimeout after a frame was written. Pings make a peer respond that
-/// has no reply ready yet.
+/// Schedules a check that closes the stream if no byte of the peer arrives for
+/// kSilenceTimeout while its next frame is awaited. Pings make a peer respond
+/// that has no reply ready yet.
 void
 FrameStream::scheduleSilenceCheck()
 {
--- a/src/peer_link_p.h
+++ b/src/peer_link_p.h
@@ -98,6 +98,7 @@
   bool m_silenceCheckPending = false;
   bool m_receivedSinceWrite = true; ///< a frame arrived since the last write
   std::size_t m_bytesSinceWrite = 0;
+  /// When the peer's last byte arrived or, if later, the wait for it began.
   std::chrono::steady_clock::time_point m_waitingSince;
 };
 
