A fetch without a reply goes to another peer, and never down an old connection

Callers saw: a host refused a route that had been added, and sent requests to the service of an older version, later than the change had to be in force.

Cause: items are fetched on connections kept from the last change. After they had fallen silent, each fetch took a second to fail and the next went to the peer whose digest came last, on another silent connection or the same one. With a reader that notices its own silent watch after 3.4 s, two such fetches are too many.

The logs show fetches a second apart, each followed by link-lost reason=silent received=0.

Change: all peers known to be ahead are kept; without a reply the next one is asked after 0.4, 0.8, 1.6 s, each once before any twice. A connection that brought no items for a second is closed, so that the next fetch opens one.

--- a/Makefile
+++ b/Makefile
@@ -29,8 +29,8 @@
 	  --keep $(BUILD)/soak
 
 # A run without faults, the seeds that once failed, requests that crash servers
-# while hosts restart, die and freeze, and a fleet in which hosts of an older
-# build are replaced by this one and the other way round.
+# while hosts restart, die and freeze, silent links between hosts, and a fleet in
+# which hosts of an older build are replaced by this one and the other way round.
 soak-short: build
 	@python3 soak/run.py $(BUILD)/toucanridge --trouble none --seeds 1 \
 	  --seconds 8
@@ -38,6 +38,8 @@
 	  --seeds "$$(awk '/^[0-9]/ {print $$1}' soak/regressions.txt | paste -sd,)"
 	@python3 soak/run.py $(BUILD)/toucanridge --trouble crashing --jobs 4 \
 	  --seconds 24 --seeds 1,3,5,6
+	@python3 soak/run.py $(BUILD)/toucanridge --trouble links --jobs 2 \
+	  --nodes 12 --seconds 40 --seeds 5-6
 	@scripts/build_older.sh $(BUILD)
 	@python3 soak/run.py $(BUILD)/toucanridge --jobs 2 --seconds 16 \
 	  --older $(BUILD)/older/toucanridge --seeds 1-2
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -187,10 +187,11 @@
 
 async def peers_silent(fleet, rng):
     """The open connections of some or all hosts, to each other and to the
-    store, fall silent for good just before a change; new ones work."""
+    store, fall silent for good just before a change; new ones work. To the
+    platform's rules this is a reset of the connections of all hosts."""
     nodes = rng.choice([fleet.nodes, rng.sample(fleet.nodes, 3)])
+    fleet.ledger.add_event("connections silent", None)
     for node in nodes:
-        fleet.ledger.add_event("connections silent", node.name)
         node.store_proxy.silence()
     fleet.peers.silence({node.ip for node in nodes})
     fleet.next_version_at = now() + rng.uniform(0.0, 1.0)
--- a/src/entry_control.cpp
+++ b/src/entry_control.cpp
@@ -35,6 +35,9 @@
 /// started at the same time, it would otherwise open more connections than the
 /// servers allow.
 constexpr std::size_t kStartingSharingHosts = 12;
+/// A connection to a peer is closed when no items came over it for this long:
+/// until the next change it might fall silent unnoticed.
+constexpr milliseconds kMaxLinkIdle{ 1000 };
 /// Number of hosts in its data centre to which a host announces a change
 /// immediately: kReaderFanOut if it reads the platform, kFollowerFanOut if it
 /// gets the items from its peers.
@@ -152,10 +155,13 @@
         applyItems(*changes, aHost.c_str());
         m_adapter.source.skipTo(m_items.revision());
         m_fetchSchedule.onReply(aHost);
+        m_repliedAt[aHost] = m_clock.now();
       }
     };
     handlers.onLost = [this](const std::string& aHost,
                              const std::vector<std::uint64_t>&) {
+      m_fetchSchedule.onLost(aHost);
+      m_repliedAt.erase(aHost);
       m_membership.onFailureHint(aHost);
     };
     error = m_links.init(
@@ -219,6 +225,7 @@
   updateReaderRole();
   m_membership.tick();
   fetchIfDue();
+  closeIdleLinks();
   m_catalogueKeeper.tick();
   const bool due = m_clock.now() >= m_nextPublishAt;
   if (m_catalogueKeeper.isChanged() || m_servingPeersChanged ||
@@ -595,6 +602,7 @@
            LogLine("items-fetch")
              .add("peer", peer->host)
              .add("have", fetch.baseRevision));
+  m_repliedAt.erase(peer->host);
   m_links.send(peer->host,
                peer->address.address,
                peer->address.port,
@@ -603,6 +611,20 @@
                0);
 }
 
+void
+EntryControl::closeIdleLinks()
+{
+  const TimePoint now = m_clock.now();
+  for (auto i = m_repliedAt.begin(); i != m_repliedAt.end();) {
+    if (now - i->second < kMaxLinkIdle) {
+      ++i;
+    } else {
+      m_links.disconnect(i->first);
+      i = m_repliedAt.erase(i);
+    }
+  }
+}
+
 void
 EntryControl::onPeerRequest(const std::string& aPayload,
                             const PeerLinks::Reply& aReply)
--- a/src/entry_control_p.h
+++ b/src/entry_control_p.h
@@ -99,6 +99,7 @@
   HttpResponse makeAddressesResponse() const;
   ItemsState itemsState() const;
   void fetchIfDue();
+  void closeIdleLinks();
   void onPeerRequest(const std::string& aPayload,
                      const PeerLinks::Reply& aReply);
 
@@ -129,6 +130,8 @@
 
   PublishedItems m_items;
   FetchSchedule m_fetchSchedule; ///< of fetches from peers
+  /// When the latest reply came over each connection without a fetch, by host.
+  std::map<std::string, TimePoint> m_repliedAt;
   CatalogueKeeper m_catalogueKeeper;
   std::shared_ptr<const RoutingTable> m_routing;
   std::shared_ptr<const ServerCatalogue> m_catalogue;
--- a/src/fetch_schedule.cpp
+++ b/src/fetch_schedule.cpp
@@ -1,6 +1,7 @@
 #include "fetch_schedule_p.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace toucanridge {
 
@@ -12,11 +13,13 @@
 bool
 FetchSchedule::onPeerAhead(const ItemsPeer& aPeer, bool aDelayed)
 {
+  const bool starts = m_ahead.empty();
   const TimePoint now = m_clock.now();
-  const bool starts = !m_peer;
   const TimePoint dueAt = aDelayed ? now + kFetchDelay : now;
-  m_dueAt = starts ? dueAt : std::min(m_dueAt, dueAt);
-  m_peer = aPeer;
+  const auto [entry, isNew] = m_ahead.try_emplace(aPeer.host);
+  Candidate& candidate = entry->second;
+  candidate.dueAt = isNew ? dueAt : std::min(candidate.dueAt, dueAt);
+  candidate.peer = aPeer;
   return starts && aDelayed;
 }
 
@@ -24,24 +27,54 @@
 FetchSchedule::onReply(const std::string& aHost)
 {
   m_retryAt = TimePoint();
-  if (m_peer && m_peer->host == aHost) {
-    m_peer.reset(); // the reply holds all that this peer has
+  m_retryDelay = kFirstRetry;
+  m_ahead.erase(aHost); // the reply holds all that this peer has
+}
+
+void
+FetchSchedule::onLost(const std::string& aHost)
+{
+  const auto found = m_ahead.find(aHost);
+  if (found != m_ahead.end()) {
+    found->second.isAwaited = false;
   }
 }
 
 std::optional<ItemsPeer>
 FetchSchedule::takeDue(const ItemsState& aHeld)
 {
-  if (m_peer && !isAhead(m_peer->state, aHeld)) {
-    m_peer.reset();
-  }
   const TimePoint now = m_clock.now();
-  if (!m_peer || now < std::max(m_dueAt, m_retryAt)) {
+  Candidate* next = nullptr;
+  const auto order = [](const Candidate& aCandidate) {
+    return std::tie(aCandidate.askedAs, aCandidate.dueAt);
+  };
+  for (auto i = m_ahead.begin(); i != m_ahead.end();) {
+    Candidate& candidate = i->second;
+    if (!isAhead(candidate.peer.state, aHeld)) {
+      i = m_ahead.erase(i);
+      continue;
+    }
+    const bool mayAsk =
+      !candidate.isAwaited || now - candidate.askedAt >= kReplyTimeout;
+    if (mayAsk && now >= candidate.dueAt &&
+        (next == nullptr || order(candidate) < order(*next))) {
+      next = &candidate;
+    }
+    ++i;
+  }
+  if (m_ahead.empty()) {
+    m_retryDelay = kFirstRetry;
+  }
+  if (next == nullptr || now < m_retryAt) {
     return std::nullopt;
   }
   // The peer stays noted until its items have arrived: the reply may be lost.
-  m_retryAt = now + kRetryInterval;
-  return m_peer;
+  next->isAwaited = true;
+  next->askedAs = ++m_fetches;
+  next->askedAt = now;
+  m_retryAt = now + m_retryDelay;
+  m_retryDelay = std::min(2 * m_retryDelay, kMaxRetry);
+  return next->peer;
 }
 
 } // namespace toucanridge
--- a/src/fetch_schedule_p.h
+++ b/src/fetch_schedule_p.h
@@ -3,10 +3,12 @@
 
 /// Decides when a host fetches published items from a peer, and from which.
 /// Answers the load of a fleet in several data centres, where digests from
-/// another data centre reach a host rarely.
+/// another data centre reach a host rarely, and where any connection or peer
+/// may have fallen silent.
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -49,27 +51,44 @@
   /// first. The platform's changes are read every 200 ms at most and take some
   /// 150 ms to reach all hosts of a data centre.
   static constexpr std::chrono::milliseconds kFetchDelay{ 400 };
-  /// Time after a fetch before the next one if no reply arrives.
-  static constexpr std::chrono::milliseconds kRetryInterval{ 1000 };
+  /// Time after a fetch before the next one, from another peer, if no reply
+  /// arrives. It doubles with each fetch, so that replies that are only slow
+  /// aren't slowed down further.
+  static constexpr std::chrono::milliseconds kFirstRetry{ 400 };
+  static constexpr std::chrono::milliseconds kMaxRetry{ 1600 };
+  /// A peer that has neither replied nor lost its connection is asked again
+  /// after this time.
+  static constexpr std::chrono::milliseconds kReplyTimeout{ 3000 };
 
   explicit FetchSchedule(const ClockI& aClock);
 
-  /// Schedules a fetch from a peer that holds items which this host lacks. The
-  /// latest such peer replaces earlier ones.
+  /// Notes that a peer holds items which this host lacks.
   /// @param[in] aDelayed whether to wait for kFetchDelay
   /// @returns true when this starts the wait
   bool onPeerAhead(const ItemsPeer& aPeer, bool aDelayed);
   /// A peer has replied to a fetch.
   void onReply(const std::string& aHost);
+  /// The connection to a peer was lost, and with it any reply.
+  void onLost(const std::string& aHost);
   /// @param[in] aHeld the state of this host's copy
   /// @returns the peer from which to fetch now, or nothing
   std::optional<ItemsPeer> takeDue(const ItemsState& aHeld);
 
 private:
+  struct Candidate
+  {
+    ItemsPeer peer;
+    TimePoint dueAt;
+    bool isAwaited = false;    ///< a fetch has no reply yet
+    std::uint64_t askedAs = 0; ///< number of the latest fetch; 0: none
+    TimePoint askedAt;
+  };
+
   const ClockI& m_clock;
-  std::optional<ItemsPeer> m_peer; ///< named by the latest digest
-  TimePoint m_dueAt;               ///< of the fetch from m_peer
-  TimePoint m_retryAt;             ///< while a fetch has no reply
+  std::map<std::string, Candidate> m_ahead; ///< by host
+  std::uint64_t m_fetches = 0;
+  TimePoint m_retryAt; ///< of the next fetch while one has no reply
+  std::chrono::milliseconds m_retryDelay{ kFirstRetry };
 };
 
 } // namespace toucanridge
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kMaxAccepted = 2048;
 /// Delay after a failed accept, for example when no file descriptor is free.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
+/// Reason of a close that this node wanted.
+constexpr const char* kDisconnected = "disconnected";
 
 } // namespace
 
@@ -236,6 +238,9 @@
           m_links.erase(found);
         }
       }
+      if (aReason == kDisconnected) {
+        return;
+      }
       logWrite(LogLevel::Info,
                LogLine("link-lost")
                  .add("peer", aHost)
@@ -267,6 +272,22 @@
   stream->send(aType, std::move(aPayload), aTag);
 }
 
+void
+PeerLinks::disconnect(const std::string& aHost)
+{
+  StreamPtr stream;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found = m_links.find(aHost);
+    if (found == m_links.end()) {
+      return;
+    }
+    stream = std::move(found->second);
+    m_links.erase(found);
+  }
+  stream->close(kDisconnected);
+}
+
 std::size_t
 PeerLinks::size() const
 {
--- a/src/peer_link_p.h
+++ b/src/peer_link_p.h
@@ -146,6 +146,10 @@
             std::string aPayload,
             std::uint64_t aTag);
 
+  /// Closes the connection to a host, if there is one, without a call of
+  /// onLost: nothing is expected from it.
+  void disconnect(const std::string& aHost);
+
   /// @returns number of outgoing connections
   std::size_t size() const;
 
