--- a/tests/host_process.h
+++ b/tests/host_process.h
@@ -3,6 +3,7 @@
 
 /// The program, run as a host of the platform in a process of its own.
 
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <cstdint>
@@ -15,6 +16,8 @@
 #include <vector>
 
 #include <boost/asio.hpp>
+#include <sys/socket.h>
+#include <sys/time.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -86,20 +89,32 @@
 class HostProcess
 {
 public:
-  HostProcess(std::string aAddress, const std::string& aStore)
+  /// A host of the platform.
+  /// @param[in] aMoreSettings lines of the settings file
+  HostProcess(std::string aAddress,
+              const std::string& aStore,
+              const std::string& aMoreSettings = {})
     : m_address(std::move(aAddress))
     , m_path("/tmp/toucanridge-host-" + m_address + ".conf")
   {
-    writeSettings(aStore);
-    const std::string program =
-      std::filesystem::canonical("/proc/self/exe").parent_path() /
-      "toucanridge";
-    m_process = ::fork();
-    if (m_process == 0) {
-      ::setenv(platform::kSettingsVariable, m_path.c_str(), 1);
-      ::execl(program.c_str(), program.c_str(), "platform", nullptr);
-      ::_exit(127);
-    }
+    writeSettings(aStore, aMoreSettings);
+    start({ "platform" });
+  }
+  /// A node with the project's own interface, whose platform is down.
+  HostProcess(std::string aAddress,
+              std::uint16_t aHttpPort,
+              std::uint16_t aPeerPort)
+    : m_address(std::move(aAddress))
+    , m_path("/tmp/toucanridge-host-" + m_address + ".log")
+  {
+    start({ "node",
+            "--host=node",
+            "--data-centre=dc-a",
+            "--address=" + m_address,
+            "--http-port=" + std::to_string(aHttpPort),
+            "--peer-port=" + std::to_string(aPeerPort),
+            "--platform=http://" + m_address + ":1",
+            "--log-file=" + m_path });
   }
   ~HostProcess()
   {
@@ -131,20 +146,33 @@
   std::string get(std::uint16_t aPort,
                   const std::string& aPath,
                   const std::string& aHeaders) const
+  {
+    return exchange(aPort,
+                    "GET " + aPath + " HTTP/1.1\r\nHost: h.example\r\n" +
+                      aHeaders + "Connection: close\r\n\r\n");
+  }
+
+  /// @returns all bytes that the host sends until it closes the connection or
+  ///          falls silent
+  std::string exchange(std::uint16_t aPort, const std::string& aRequest) const
   {
     boost::asio::io_context context;
     boost::asio::ip::tcp::socket socket(context);
     boost::system::error_code error;
     socket.connect({ boost::asio::ip::make_address(m_address), aPort }, error);
-    const std::string request = "GET " + aPath +
-                                " HTTP/1.1\r\nHost: h.example\r\n" + aHeaders +
-                                "Connection: close\r\n\r\n";
     if (!error) {
-      boost::asio::write(socket, boost::asio::buffer(request), error);
+      boost::asio::write(socket, boost::asio::buffer(aRequest), error);
     }
+    const timeval limit{ kAnswerLimit.count(), 0 };
+    ::setsockopt(
+      socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
     std::string answer;
-    if (!error) {
-      boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    std::array<char, 65536> part{};
+    for (ssize_t size = 0;
+         !error &&
+         (size = ::recv(socket.native_handle(), part.data(), part.size(), 0)) >
+           0;) {
+      answer.append(part.data(), static_cast<std::size_t>(size));
     }
     return answer;
   }
@@ -155,8 +183,38 @@
     return processMemory(std::to_string(m_process), "VmHWM:");
   }
 
+  std::size_t openDescriptors() const
+  {
+    std::error_code error;
+    const std::filesystem::directory_iterator all(
+      "/proc/" + std::to_string(m_process) + "/fd", error);
+    return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+  }
+
 private:
   static constexpr std::chrono::seconds kStartLimit{ 5 };
+  /// A host that sends nothing for this long doesn't answer.
+  static constexpr std::chrono::seconds kAnswerLimit{ 10 };
+
+  void start(const std::vector<std::string>& aArguments)
+  {
+    const std::string program =
+      std::filesystem::canonical("/proc/self/exe").parent_path() /
+      "toucanridge";
+    std::vector<char*> arguments{ const_cast<char*>(program.c_str()) };
+    for (const std::string& argument : aArguments) {
+      arguments.push_back(const_cast<char*>(argument.c_str()));
+    }
+    arguments.push_back(nullptr);
+    m_process = ::fork();
+    if (m_process == 0) {
+      if (aArguments.front() == "platform") {
+        ::setenv(platform::kSettingsVariable, m_path.c_str(), 1);
+      }
+      ::execv(program.c_str(), arguments.data());
+      ::_exit(127);
+    }
+  }
 
   bool waitFor(std::uint16_t aPort,
                const std::string& aPath,
@@ -172,7 +230,8 @@
     return true;
   }
 
-  void writeSettings(const std::string& aStore) const
+  void writeSettings(const std::string& aStore,
+                     const std::string& aMoreSettings) const
   {
     std::ofstream(m_path)
       << "node_name=host-0\nzone=dc-a\nregion=r\nlisten.frontend=" << m_address
@@ -181,7 +240,8 @@
       << ":8100\nport_range=7380,7395\nseeds=" << m_address
       << ":8106\nbounds.grace_s=2\nbounds.retry_slack=500\n"
       << "bounds.retry_budget_ratio=0.5\nplatform.address=" << aStore << ":"
-      << kStorePort << "\n";
+      << kStorePort << "\n"
+      << aMoreSettings;
   }
 
   const std::string m_address;
