Names and comments of the limits on what clients hold

A rate limiter is named after its lines, not after one of its two uses; the doc comments of bytesSinceWrite() and of ServerTable say what their values are.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -35,8 +35,8 @@
 /// still on its way: closed at once, it would be reset before the client has
 /// read the refusal.
 constexpr milliseconds kDiscardTime{ 1000 };
-/// Most refused connections logged in a second.
-constexpr std::uint32_t kMaxRefusalLinesPerSecond = 10;
+/// Most refused and evicted connections logged in a second.
+constexpr std::uint32_t kMaxLinesPerSecond = 10;
 /// Interval at which time limits are checked; they are enforced late by this
 /// much at most.
 constexpr milliseconds kTimeLimitCheckInterval{ 250 };
@@ -220,14 +220,13 @@
 
   void logEviction()
   {
-    if (m_server.m_refusalLogLimit.allows()) {
-      logWrite(
-        LogLevel::Warn,
-        LogLine("connection-evicted")
-          .add("body", m_request->body().size())
-          .add("answer", m_body.size())
-          .add("buffered", m_buffer.size())
-          .add("suppressed", m_server.m_refusalLogLimit.takeSuppressed()));
+    if (m_server.m_logLimit.allows()) {
+      logWrite(LogLevel::Warn,
+               LogLine("connection-evicted")
+                 .add("body", m_request->body().size())
+                 .add("answer", m_body.size())
+                 .add("buffered", m_buffer.size())
+                 .add("suppressed", m_server.m_logLimit.takeSuppressed()));
     }
   }
 
@@ -500,7 +499,7 @@
   , m_clock(aClock)
   , m_handler(std::move(aHandler))
   , m_resources(std::move(aResources))
-  , m_refusalLogLimit(aClock, kMaxRefusalLinesPerSecond)
+  , m_logLimit(aClock, kMaxLinesPerSecond)
   , m_acceptor(aContext)
   , m_timeLimitTimer(aContext)
   , m_acceptRetryTimer(aContext)
@@ -567,11 +566,11 @@
     auto session = std::make_shared<HttpSession>(*this, std::move(aSocket));
     m_sessions.insert(session);
     session->start();
-  } else if (m_refusalLogLimit.allows()) {
+  } else if (m_logLimit.allows()) {
     logWrite(LogLevel::Warn,
              LogLine("connection-refused")
                .add("open", m_sessions.size())
-               .add("suppressed", m_refusalLogLimit.takeSuppressed()));
+               .add("suppressed", m_logLimit.takeSuppressed()));
   }
 }
 
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -133,7 +133,7 @@
   const ClockI& m_clock;
   Handler m_handler;
   const HttpServerResources m_resources;
-  LogRateLimiter m_refusalLogLimit;
+  LogRateLimiter m_logLimit;
   HttpLimits m_limits;
   boost::asio::ip::tcp::acceptor m_acceptor;
   boost::asio::steady_timer m_timeLimitTimer;
--- a/src/peer_link_p.h
+++ b/src/peer_link_p.h
@@ -61,9 +61,8 @@
 
   /// @returns number of frames that are not written to the socket yet
   std::uint32_t pendingFrames() const { return m_pending; }
-  /// @returns number of bytes received since the last frame was written; call
-  /// it
-  ///          from OnClose
+  /// Call it from OnClose.
+  /// @returns number of bytes received since the last frame was written
   std::size_t bytesSinceWrite() const { return m_bytesSinceWrite; }
   /// Sets the largest payload to accept. Call it on the stream's strand or
   /// before the stream starts.
--- a/src/server_table_p.h
+++ b/src/server_table_p.h
@@ -52,6 +52,8 @@
 class ServerTable
 {
 public:
+  /// @param[in] aConnections that may be open to all servers together; the
+  ///            first one to each server isn't limited
   ServerTable(
     boost::asio::io_context& aContext,
     const ClockI& aClock,
