forward_test: hosts end before the context that their sockets use

The address sanitizer shows the cause: tearDown() destroyed the thread's io_context before the hosts, whose pooled connections then closed their sockets in freed memory. The product destroys its context last.

The hosts end on their thread now, after the handlers that their shutdown cancelled. No check changed.

--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -121,8 +121,14 @@
       return 0;
     });
     m_servers.clear();
+    // Handlers that the shutdown cancelled run first; the sockets of the hosts
+    // need the context of their thread to the end.
+    m_thread->sync([] { return 0; });
+    m_thread->sync([this] {
+      m_hosts.clear();
+      return 0;
+    });
     m_thread.reset();
-    m_hosts.clear();
   }
 
   // Guards against callers of a host without a path to the servers that get no
