A caller's read buffer is never freed under a pending read

Callers saw: after a request with a head of over 8 KB on a kept connection, the next request was lost; the host wrote to freed memory.

Cause: a connection is read while its request runs. When the answer was written, the limit on what clients hold shrank the buffer of a long head under the pending read. Found by reading, while the abort of forward_test was traced, where it has no part.

The buffer is shrunk before a read is started.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -252,9 +252,6 @@
     m_stateSince = m_server.m_clock.now();
     m_headBytes = 0;
     m_isBodyAdmitted = false;
-    if (m_buffer.size() == 0 && m_buffer.capacity() > kMaxIdleBufferBytes) {
-      m_buffer.shrink_to_fit();
-    }
     for (const BufferUse use :
          { BufferUse::Message, BufferUse::Copies, BufferUse::Answer }) {
       m_held.set(use, 0);
@@ -274,6 +271,10 @@
         m_buffer.size() >= maxBuffered) {
       return;
     }
+    // Not before: a read that is pending would write to freed memory.
+    if (m_buffer.size() == 0 && m_buffer.capacity() > kMaxIdleBufferBytes) {
+      m_buffer.shrink_to_fit();
+    }
     m_reading = true;
     m_socket.async_read_some(
       m_buffer.prepare(kReadBytes),
--- a/tests/client_limits_test.cpp
+++ b/tests/client_limits_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(refusesLongBodiesUnreadNearTheLimit);
   CPPUNIT_TEST(takesCopiesOnlyWhileThereIsRoom);
   CPPUNIT_TEST(longestIdleConnectionMakesRoom);
+  CPPUNIT_TEST(servesRequestAfterOneWithALongHead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -112,6 +113,28 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), answerOn(first));
   }
 
+  // Guards against a read buffer that is freed under a pending read, which
+  // loses the next request.
+  void servesRequestAfterOneWithALongHead()
+  {
+    boost::asio::io_context context;
+    tcp::socket socket = connect(context);
+    const std::string head =
+      "GET / HTTP/1.1\r\nA: " + std::string(15000, 'a') + "\r\n\r\n";
+    CPPUNIT_ASSERT_EQUAL(std::string("200"), answerOn(socket, head));
+    boost::system::error_code error;
+    boost::asio::write(
+      socket,
+      boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")),
+      error);
+    const auto limit =
+      std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (m_handled < 2 && std::chrono::steady_clock::now() < limit) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(2, m_handled.load());
+  }
+
 private:
   static tcp::socket connect(boost::asio::io_context& aContext)
   {
