--- a/review/10/case.py
+++ b/review/10/case.py
@@ -13,9 +13,9 @@
 ZONES = ("a", "b", "c", "d")
 SERVERS = 8
 CRASH_AFTER_S, BACK_AFTER_S = 0.05, 2.0
-INTERVAL_S = 5.0         # between two attempts of the crashing request
-KILL_AT_S, DOWN_S = 21.0, 0.5
-PLAY_S = 75.0
+INTERVAL_S = 5.0         # between the first attempts of the crashing request
+HELD_S = 10.5            # then it comes again after this time, at all hosts
+DOWN_S = 0.5
 RETRIES = 3
 REQUESTS_PER_S = 20
 
@@ -39,9 +39,9 @@
         if not await fleet.wait_until_served("GET", "/find/first"):
             return 2
         await asyncio.sleep(6.0)
-        tasks = [asyncio.ensure_future(self.run_load()),
-                 asyncio.ensure_future(self.send_crashing())]
-        await asyncio.sleep(KILL_AT_S)
+        load = asyncio.ensure_future(self.run_load())
+        self.killed_at = None
+        await self.send_crashing()
         if trouble:
             fleet.record.add("all hosts are killed")
             for host in fleet.hosts:
@@ -52,11 +52,9 @@
                 host.idle = []
                 host.start()
             self.killed_at = s.now()
-        else:
-            self.killed_at = None
-        await asyncio.sleep(PLAY_S - KILL_AT_S)
-        for task in tasks:
-            task.cancel()
+        await asyncio.sleep(s.CONTACT_S + 0.5)
+        await self.send_crashing()
+        load.cancel()
         return self.check()
 
     async def run_load(self):
@@ -67,14 +65,22 @@
                 "/find/%x" % random.getrandbits(32)))
 
     async def send_crashing(self):
-        """The same request, at a host that serves, every few seconds."""
-        while True:
-            host = random.choice(self.fleet.hosts)
-            attempt = await self.fleet.send(host, "GET", "/find/crash",
-                                            reuse=False)
-            self.fleet.record.add("crashing request %s at %s: %s", attempt.id,
-                                  host.name, attempt.status or "no answer")
-            await asyncio.sleep(INTERVAL_S)
+        """The same request, twice, and later at all hosts until one of them
+        tries it again."""
+        await self.send_one(self.fleet.hosts[0])
+        await asyncio.sleep(INTERVAL_S)
+        await self.send_one(self.fleet.hosts[-1])
+        await asyncio.sleep(HELD_S)
+        crashes = len(self.crashes)
+        until = s.now() + 14.0
+        while len(self.crashes) == crashes and s.now() < until:
+            await asyncio.gather(*map(self.send_one, self.fleet.hosts))
+            await asyncio.sleep(0.3)
+
+    async def send_one(self, host):
+        attempt = await self.fleet.send(host, "GET", "/find/crash", reuse=False)
+        self.fleet.record.add("crashing request %s at %s: %s", attempt.id,
+                              host.name, attempt.status or "no answer")
 
     def crash(self, server, message, writer):
         """Ends the server a moment after it has begun to run the request."""
