--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,9 +11,11 @@
 
 ZONES = ("a", "b", "c")
 SILENT_ZONES = 2         # one host in each: 2 of 6, below the share 0.35
-ROUNDS, SILENT_S = 10, 5.0
+SERVERS_PER_ZONE = 5     # 15; 2 leave at a time, a share of 0.133
+ROUNDS, SILENT_S = 9, 6.0
+REMOVALS, BETWEEN_S = 2, 1.0
 LONGER_S = 1.0           # servers serve a little longer than drain_ms
-REQUESTS_PER_S = 90
+REQUESTS_PER_S = 220
 
 
 class Case:
@@ -23,7 +25,7 @@
     async def play(self, fleet, trouble):
         self.fleet, self.late = fleet, []
         for zone in ZONES:
-            for _ in range(2):
+            for _ in range(SERVERS_PER_ZONE):
                 await fleet.add_server("orders", zone, work_s=0.05)
         fleet.put_config([{
             "name": "order", "host": s.HOST_NAME, "prefix": "/order/",
@@ -64,7 +66,7 @@
 
     async def play_round(self, number, trouble):
         fleet = self.fleet
-        self.late = []
+        began, self.late = s.now(), []
         zones = [ZONES[(number + i) % len(ZONES)] for i in range(SILENT_ZONES)]
         # The reader of a zone is the host there that watches the store.
         readers = [next((h for h in fleet.hosts if h.zone == zone and
@@ -76,22 +78,26 @@
             fleet.record.add("the store stops answering %s", host.name)
         await asyncio.sleep(0.3)
         leaving = []
-        for zone in zones:
-            server = next(x for x in fleet.servers if x.zone == zone)
-            server.on_arrival = self.on_arrival
-            server.gone_at = fleet.store.put("servers/" + server.id, None)
-            fleet.record.add("the store has accepted the removal of %s in %s",
-                             server.id, zone)
-            leaving.append(server)
-        await asyncio.sleep(s.DRAIN_S + LONGER_S)
+        for _ in range(REMOVALS):
+            for zone in zones:
+                server = next(x for x in fleet.servers
+                              if x.zone == zone and x not in leaving)
+                server.on_arrival = self.on_arrival
+                server.gone_at = fleet.store.put("servers/" + server.id, None)
+                fleet.record.add("the store has accepted the removal of %s "
+                                 "in %s", server.id, zone)
+                leaving.append(server)
+            await asyncio.sleep(BETWEEN_S)
         for server in leaving:
+            end = server.gone_at + s.DRAIN_S + LONGER_S
+            await asyncio.sleep(max(0.0, end - s.now()))
             await fleet.stop_server(server)
-        await asyncio.sleep(SILENT_S - 0.3 - s.DRAIN_S - LONGER_S)
+        await asyncio.sleep(max(0.0, began + SILENT_S - s.now()))
         for host in silent:
             fleet.store.silent.discard(host.name)
             fleet.record.add("the store answers %s again", host.name)
         broken = self.check(silent)
-        for zone in zones:
+        for zone in zones * REMOVALS:
             await fleet.add_server("orders", zone, work_s=0.05)
         await asyncio.sleep(s.CONTACT_S)
         return broken
